Thin whole path: layers, core types, one search from caller to upstream

The shape had to stand before anything else: four layers with their import order enforced, plain data, abstract base classes, one task for each connection.

Ruled out: CherryPy's global engine and configuration, since one process then could not hold an entry VM and its stand-ins; urllib3's pools, since a waiting long poll could not be closed.

--- /dev/null
+++ b/.ci/setup.sh
@@ -0,0 +1,11 @@
+#!/bin/sh
+# Makes .venv with the project and its tools, unless it is there and up to date.
+set -eu
+cd "$(dirname "$0")/.."
+stamp=$(cksum < pyproject.toml)
+if [ -f .venv/stamp ] && [ "$(cat .venv/stamp)" = "$stamp" ]; then
+    exit 0
+fi
+python3 -m venv .venv
+.venv/bin/pip install --quiet --disable-pip-version-check -e '.[test,plot]'
+printf '%s\n' "$stamp" > .venv/stamp
--- /dev/null
+++ b/auburncart/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command as ``python -m auburncart``."""
+
+from auburncart.command.main import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/auburncart/command/check.py
@@ -0,0 +1,32 @@
+"""``auburncart check``: names all faults of a settings or table file."""
+
+from pathlib import Path
+
+import pyjson5
+
+from auburncart.protocol.document import parse_document
+from auburncart.protocol.table_file import TableFile
+from auburncart.settings import load_entry_settings
+
+__all__ = ["check"]
+
+
+def check(file: Path) -> int:
+    """Check a settings file or a table and name each fault; exit code 2 if there is any.
+
+    :param file: the file; one with ``rows`` is taken for a table, any other for settings.
+    """
+    if _is_table(file):
+        parse_document(file.read_text(encoding="utf-8"), TableFile, str(file))
+    else:
+        load_entry_settings(file)
+    print(f"{file}: no faults")
+    return 0
+
+
+def _is_table(file: Path) -> bool:
+    try:
+        fields = pyjson5.loads(file.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, pyjson5.Json5Exception):
+        return False
+    return isinstance(fields, dict) and "rows" in fields
--- /dev/null
+++ b/auburncart/command/demo.py
@@ -0,0 +1,118 @@
+"""``auburncart demo``: the main job in one process on loopback, with embedded stand-ins."""
+
+import asyncio
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from auburncart.command.request import post
+from auburncart.daemon import Entry
+from auburncart.settings import EntrySettings
+from auburncart.standins.platform import PlatformModel
+from auburncart.standins.server import PlatformApplication, StandinServer, UpstreamApplication
+from auburncart.standins.site import DEMO_TABLE, demo_hits, make_shard_map, publish
+from auburncart.standins.upstream import UpstreamModel, UpstreamShape
+from auburncart.transport.loop import LoopBridge
+
+__all__ = ["demo", "demo_site"]
+
+SHARDS = 52
+UPSTREAMS = 8
+REPLICAS = 2
+CONNECTIONS = 8
+BATCH_LIMIT = 16
+PLATFORM_THREADS = 16
+CONTROL_THREADS = 2
+READY_SECONDS = 10.0
+POLL_SECONDS = 0.05
+DEADLINE_MS = 3000
+
+
+def demo(*, once: bool = False) -> int:
+    """Run an entry VM with a platform and upstreams on loopback, in this one process.
+
+    :param once: run one search through HTTP, print its answer as JSON and end.
+    """
+    asyncio.run(_demo(once))
+    return 0
+
+
+async def _demo(once: bool) -> None:
+    async with demo_site() as address:
+        if once:
+            sys.stdout.write(await _one_search(address) + "\n")
+            return
+        sys.stdout.write(f"entry VM on http://{address}/v1, stop with Ctrl-C\n")
+        sys.stdout.write(f"auburncart search net --to {address} --customer ladera --kind closure\n")
+        sys.stdout.flush()
+        await asyncio.Event().wait()
+
+
+@asynccontextmanager
+async def demo_site() -> AsyncIterator[str]:
+    """Run the site and yield the entry VM's general address."""
+    bridge = LoopBridge(asyncio.get_running_loop())
+    platform = PlatformModel()
+    platform_server = StandinServer(
+        "127.0.0.1:0", PlatformApplication(platform, bridge), PLATFORM_THREADS
+    )
+    platform_server.start()
+    servers = [platform_server]
+    shapes = []
+    for number in range(UPSTREAMS):
+        shape, server = _start_upstream(number, bridge)
+        shapes.append(shape)
+        servers.append(server)
+    await publish(platform, make_shard_map(shapes, ["dc1"] * UPSTREAMS, BATCH_LIMIT), DEMO_TABLE)
+    entry = Entry(_settings(platform_server.address))
+    await entry.start()
+    try:
+        yield entry.addresses[0]
+    finally:
+        await entry.stop()
+        platform.set_outage(True)
+        await asyncio.gather(*(asyncio.to_thread(server.stop) for server in servers))
+
+
+def _start_upstream(number: int, bridge: LoopBridge) -> tuple[UpstreamShape, StandinServer]:
+    names = [f"shard-{index:02}" for index in range(SHARDS) if _holds(number, index)]
+    shape = UpstreamShape(f"upstream-{number}", "s1", {name: demo_hits(name) for name in names})
+    application = UpstreamApplication(UpstreamModel(shape, number), bridge)
+    server = StandinServer("127.0.0.1:0", application, CONNECTIONS + CONTROL_THREADS)
+    server.start()
+    return shape._replace(address=server.address, connections=CONNECTIONS), server
+
+
+def _holds(upstream: int, shard: int) -> bool:
+    return any((shard + copy) % UPSTREAMS == upstream for copy in range(REPLICAS))
+
+
+def _settings(platform_address: str) -> EntrySettings:
+    return EntrySettings(
+        name="demo-vm",
+        data_centre="dc1",
+        general_address="127.0.0.1:0",
+        urgent_address="127.0.0.1:0",
+        platform_address=platform_address,
+        general_threads=8,
+        urgent_threads=4,
+        connecting_vms=1,
+        log_file="",
+    )
+
+
+async def _one_search(address: str) -> str:
+    body: dict[str, object] = {
+        "customer": "ladera",
+        "kind": "closure",
+        "query": "net",
+        "deadline_ms": DEADLINE_MS,
+    }
+    async with asyncio.timeout(READY_SECONDS):
+        while True:
+            status, text = await asyncio.to_thread(
+                post, address, "/v1/search", body, DEADLINE_MS / 1000.0
+            )
+            if status != 503:
+                return text
+            await asyncio.sleep(POLL_SECONDS)
--- /dev/null
+++ b/auburncart/command/request.py
@@ -0,0 +1,93 @@
+"""``auburncart search`` and ``auburncart order``: send one request and print the answer."""
+
+import sys
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from auburncart.exception import AuburncartError
+
+__all__ = ["order", "post", "search"]
+
+SLACK_SECONDS = 5.0
+EXIT_NOT_ANSWERED = 1
+
+
+def search(
+    query: str,
+    *,
+    to: str,
+    customer: str,
+    kind: str,
+    deadline_ms: int = 1000,
+    shard: list[str] | None = None,
+) -> int:
+    """Send a search and print its answer with coverage as JSON.
+
+    :param query: query text.
+    :param to: ``IP:port`` of an entry VM.
+    :param customer: customer on whose account it runs.
+    :param kind: kind of work.
+    :param deadline_ms: milliseconds within which the answer is worth something.
+    :param shard: ask only this shard; may be given several times.
+    """
+    body: dict[str, object] = {
+        "customer": customer,
+        "kind": kind,
+        "query": query,
+        "deadline_ms": deadline_ms,
+    }
+    if shard:
+        body["shards"] = shard
+    status, text = post(to, "/v1/search", body, deadline_ms / 1000.0)
+    sys.stdout.write(text + "\n")
+    return 0 if status == 200 and '"complete":true' in text else EXIT_NOT_ANSWERED
+
+
+def order(
+    text: str,
+    *,
+    to: str,
+    customer: str,
+    kind: str,
+    shard: str,
+    key: str,
+    deadline_ms: int = 5000,
+) -> int:
+    """Send an order, which takes effect at most once, and print what became of it as JSON.
+
+    :param text: the order itself.
+    :param to: ``IP:port`` of an entry VM.
+    :param customer: customer on whose account it runs.
+    :param kind: kind of work.
+    :param shard: shard that carries it out.
+    :param key: idempotency key; repeat the same order only with the same key.
+    :param deadline_ms: milliseconds to wait for the outcome.
+    """
+    body: dict[str, object] = {
+        "customer": customer,
+        "kind": kind,
+        "shard": shard,
+        "key": key,
+        "order": text,
+        "deadline_ms": deadline_ms,
+    }
+    status, reply = post(to, "/v1/order", body, deadline_ms / 1000.0)
+    sys.stdout.write(reply + "\n")
+    return 0 if status == 200 and '"ran":"yes"' in reply else EXIT_NOT_ANSWERED
+
+
+def post(address: str, path: str, body: dict[str, object], seconds: float) -> tuple[int, str]:
+    """Post JSON once and return the status and text of the reply.
+
+    :param seconds: the request's own deadline.
+    :raises AuburncartError: no reply arrived.
+    """
+    timeout = urllib3.Timeout(connect=SLACK_SECONDS, read=seconds + SLACK_SECONDS)
+    try:
+        response = urllib3.request(
+            "POST", f"http://{address}{path}", json=body, timeout=timeout, retries=False
+        )
+    except HTTPError as error:
+        raise AuburncartError(str(error), step="send", peer=address) from error
+    return response.status, response.data.decode("utf-8", "replace")
--- /dev/null
+++ b/auburncart/coordination/__init__.py
@@ -0,0 +1,41 @@
+"""Every decision of the tier, behind abstract base classes and without codec or socket."""
+
+from auburncart.coordination.catalogue import SHARD_MAP, Catalogue
+from auburncart.coordination.fleet import Fleet
+from auburncart.coordination.interfaces import (
+    Key,
+    Membership,
+    PeerBus,
+    Store,
+    Stored,
+    UpstreamConnection,
+    UpstreamDialer,
+)
+from auburncart.coordination.observer import Observer, SilentObserver
+from auburncart.coordination.order import OrderService
+from auburncart.coordination.policies import Policies, baseline_policies
+from auburncart.coordination.search import SearchService
+from auburncart.coordination.table import TABLE, TableKeeper
+from auburncart.coordination.upstream import Upstream
+
+__all__ = [
+    "Catalogue",
+    "Fleet",
+    "Key",
+    "Membership",
+    "Observer",
+    "OrderService",
+    "PeerBus",
+    "Policies",
+    "SHARD_MAP",
+    "SearchService",
+    "SilentObserver",
+    "Store",
+    "Stored",
+    "TABLE",
+    "TableKeeper",
+    "Upstream",
+    "UpstreamConnection",
+    "UpstreamDialer",
+    "baseline_policies",
+]
--- /dev/null
+++ b/auburncart/coordination/admission.py
@@ -0,0 +1,79 @@
+"""Which requests are let in, and in which order."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections import deque
+
+from expression import Error, Ok, Result
+
+from auburncart.state import Refusal, RefusalCode, Row, Step, Work
+
+__all__ = ["Admission", "FirstComeAdmission", "Ticket"]
+
+
+class Ticket(ABC):
+    """Permission to run one request; it is released exactly once."""
+
+    @abstractmethod
+    def release(self) -> None:
+        """Give the place to the next request."""
+
+
+class Admission(ABC):
+    """Lets requests in by rank, weight and limit."""
+
+    @abstractmethod
+    async def admit(self, work: Work, row: Row) -> Result[Ticket, Refusal]:
+        """Wait for a place.
+
+        :return: a ticket, or a refusal with ``ran: no``.
+        """
+
+
+class _FirstComeTicket(Ticket):
+    def __init__(self, admission: "FirstComeAdmission") -> None:
+        self._admission = admission
+
+    def release(self) -> None:
+        self._admission._release()
+
+
+class FirstComeAdmission(Admission):
+    """Lets requests in as they come, up to a fixed number; the baseline.
+
+    :param places: most requests at work at the same time.
+    """
+
+    def __init__(self, places: int) -> None:
+        self._free = places
+        self._waiting: deque[asyncio.Future[None]] = deque()
+
+    async def admit(self, work: Work, row: Row) -> Result[Ticket, Refusal]:
+        """Take a free place or wait for one until the deadline."""
+        if self._free > 0:
+            self._free -= 1
+            return Ok(_FirstComeTicket(self))
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting.append(turn)
+        try:
+            async with asyncio.timeout_at(work.deadline):
+                await turn
+        except TimeoutError:
+            return Error(
+                Refusal(RefusalCode.OVERLOADED, "no place before the deadline", step=Step.QUEUE)
+            )
+        finally:
+            self._forget(turn)
+        return Ok(_FirstComeTicket(self))
+
+    def _forget(self, turn: asyncio.Future[None]) -> None:
+        if turn in self._waiting:
+            self._waiting.remove(turn)
+
+    def _release(self) -> None:
+        while self._waiting:
+            turn = self._waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self._free += 1
--- /dev/null
+++ b/auburncart/coordination/batching.py
@@ -0,0 +1,35 @@
+"""How many waiting sub-queries travel in one request to an upstream."""
+
+from abc import ABC, abstractmethod
+
+from auburncart.state import Replica
+
+__all__ = ["Batching", "OnePerRequest", "UpToLimit"]
+
+
+class Batching(ABC):
+    """Sizes the batch that a free connection takes from its upstream's queue."""
+
+    @abstractmethod
+    def size(self, replica: Replica, waiting: int) -> int:
+        """Return how many of the ``waiting`` sub-queries to send now; at least 1."""
+
+
+class OnePerRequest(Batching):
+    """Sends each sub-query on its own; the baseline."""
+
+    def size(self, replica: Replica, waiting: int) -> int:
+        """Return 1."""
+        return 1
+
+
+class UpToLimit(Batching):
+    """Sends all that wait, up to what the upstream takes in one request."""
+
+    def size(self, replica: Replica, waiting: int) -> int:
+        """Return the smaller of what waits and what the upstream takes.
+
+        >>> UpToLimit().size(Replica("127.0.0.1:1", "dc1", batch_limit=8), 20)
+        8
+        """
+        return max(1, min(waiting, replica.batch_limit))
--- /dev/null
+++ b/auburncart/coordination/catalogue.py
@@ -0,0 +1,48 @@
+"""The shard map in force, from the platform's store."""
+
+import asyncio
+
+from auburncart.coordination.interfaces import Key, Store
+from auburncart.exception import StoreUnavailableError
+from auburncart.state import ShardMap
+
+__all__ = ["SHARD_MAP", "Catalogue"]
+
+SHARD_MAP: Key[ShardMap] = Key("shards", "current")
+WATCH_SECONDS = 20.0
+RETRY_SECONDS = 1.0
+
+
+class Catalogue:
+    """Holds the newest shard map and never goes back to an older one."""
+
+    def __init__(self) -> None:
+        self._current: ShardMap | None = None
+
+    @property
+    def current(self) -> ShardMap | None:
+        """The newest shard map, None before the first."""
+        return self._current
+
+    def install(self, shard_map: ShardMap) -> bool:
+        """Put a shard map in force if it is newer than the one in force.
+
+        :return: whether it was.
+        """
+        if self._current is not None and shard_map.version <= self._current.version:
+            return False
+        self._current = shard_map
+        return True
+
+    async def follow(self, store: Store) -> None:
+        """Watch the store and put each new shard map in force; runs until cancelled."""
+        etag = ""
+        while True:
+            try:
+                stored = await store.watch(SHARD_MAP, etag, WATCH_SECONDS)
+            except StoreUnavailableError:
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            if stored is not None:
+                etag = stored.etag
+                self.install(stored.value)
--- /dev/null
+++ b/auburncart/coordination/job.py
@@ -0,0 +1,63 @@
+"""One try of one sub-query on its way through an upstream's queue."""
+
+from typing import NamedTuple
+
+from auburncart.coordination.mailbox import Mailbox
+from auburncart.state import Failure, Rank, ShardAnswer, SubQuery
+
+__all__ = ["Job", "JobResult"]
+
+
+class JobResult(NamedTuple):
+    """How a job ended: with an answer or with a failure.
+
+    :param job: the job.
+    :param answer: the shard's answer, None if it failed.
+    :param failure: the failure, None if it was answered.
+    """
+
+    job: "Job"
+    answer: ShardAnswer | None
+    failure: Failure | None
+
+
+class Job:
+    """One try of one sub-query.
+
+    :param sub: the sub-query.
+    :param rank: rank of the search.
+    :param reason: ``first``, ``retry`` or ``hedge``.
+    :param mailbox: mailbox of the search that waits.
+    :param address: address of the upstream that it waits for.
+    """
+
+    __slots__ = (
+        "_mailbox",
+        "address",
+        "cancelled",
+        "rank",
+        "reason",
+        "request_id",
+        "sent_at",
+        "sub",
+    )
+
+    def __init__(
+        self, sub: SubQuery, rank: Rank, reason: str, mailbox: Mailbox[JobResult], address: str
+    ) -> None:
+        self.sub = sub
+        self.rank = rank
+        self.reason = reason
+        self.address = address
+        self.cancelled = False
+        self.request_id = ""
+        self.sent_at = 0.0
+        self._mailbox = mailbox
+
+    def answer(self, answer: ShardAnswer) -> None:
+        """Hand the answer to the waiting search."""
+        self._mailbox.post(JobResult(self, answer, None))
+
+    def fail(self, failure: Failure) -> None:
+        """Hand the failure to the waiting search."""
+        self._mailbox.post(JobResult(self, None, failure))
--- /dev/null
+++ b/auburncart/coordination/limits.py
@@ -0,0 +1,29 @@
+"""How many connections this VM may hold to an upstream."""
+
+from abc import ABC, abstractmethod
+
+from auburncart.state import Replica
+
+__all__ = ["ConnectionLimit", "FixedLimit"]
+
+
+class ConnectionLimit(ABC):
+    """Gives this VM its share of an upstream's connections."""
+
+    @abstractmethod
+    def connections(self, replica: Replica) -> int:
+        """Return the most connections this VM may hold to ``replica`` now; may be 0."""
+
+
+class FixedLimit(ConnectionLimit):
+    """Divides an upstream's connections by a fixed number of VMs; the baseline.
+
+    :param vms: number of VMs that may connect to one upstream.
+    """
+
+    def __init__(self, vms: int) -> None:
+        self._vms = vms
+
+    def connections(self, replica: Replica) -> int:
+        """Return an equal share, at least 1."""
+        return max(1, replica.connections // self._vms)
--- /dev/null
+++ b/auburncart/coordination/observer.py
@@ -0,0 +1,57 @@
+"""Where coordination reports what it did, for metrics and measurements."""
+
+from abc import ABC, abstractmethod
+
+from auburncart.state import Rank
+
+__all__ = ["Observer", "SilentObserver"]
+
+
+class Observer(ABC):
+    """Receives events; implementations must not wait."""
+
+    @abstractmethod
+    def request_ended(self, rank: Rank, outcome: str, seconds: float) -> None:
+        """Take in that a caller's request ended.
+
+        :param outcome: ``complete``, ``partial``, ``refused``, ``ran`` or ``unknown``.
+        :param seconds: time since its arrival.
+        """
+
+    @abstractmethod
+    def sub_queries_sent(self, count: int, reason: str) -> None:
+        """Take in that sub-queries left in one request.
+
+        :param reason: ``first``, ``retry`` or ``hedge``.
+        """
+
+    @abstractmethod
+    def connections_changed(self, address: str, open_connections: int) -> None:
+        """Take in a new number of open connections to an upstream."""
+
+    @abstractmethod
+    def counted(self, name: str, amount: float = 1.0) -> None:
+        """Count something named, such as ``hedge_denied`` or ``store_call``."""
+
+    @abstractmethod
+    def gauged(self, name: str, value: float) -> None:
+        """Take in a new value of something named, such as ``table_version``."""
+
+
+class SilentObserver(Observer):
+    """Ignores every event."""
+
+    def request_ended(self, rank: Rank, outcome: str, seconds: float) -> None:
+        """Ignore the event."""
+
+    def sub_queries_sent(self, count: int, reason: str) -> None:
+        """Ignore the event."""
+
+    def connections_changed(self, address: str, open_connections: int) -> None:
+        """Ignore the event."""
+
+    def counted(self, name: str, amount: float = 1.0) -> None:
+        """Ignore the event."""
+
+    def gauged(self, name: str, value: float) -> None:
+        """Ignore the event."""
--- /dev/null
+++ b/auburncart/coordination/table.py
@@ -0,0 +1,48 @@
+"""The table in force on this VM."""
+
+import asyncio
+
+from auburncart.coordination.interfaces import Key, Store
+from auburncart.exception import StoreUnavailableError
+from auburncart.state import Table, TableDocument
+
+__all__ = ["TABLE", "TableKeeper"]
+
+TABLE: Key[TableDocument] = Key("table", "current")
+WATCH_SECONDS = 20.0
+RETRY_SECONDS = 1.0
+
+
+class TableKeeper:
+    """Holds the newest table and never goes back to an older one."""
+
+    def __init__(self) -> None:
+        self._document: TableDocument | None = None
+
+    @property
+    def table(self) -> Table | None:
+        """The table in force, None before the first."""
+        return self._document.table if self._document else None
+
+    def install(self, document: TableDocument) -> bool:
+        """Put a table in force if it is newer than the one in force.
+
+        :return: whether it was.
+        """
+        if self._document is not None and document.table.version <= self._document.table.version:
+            return False
+        self._document = document
+        return True
+
+    async def follow(self, store: Store) -> None:
+        """Watch the store and put each new table in force; runs until cancelled."""
+        etag = ""
+        while True:
+            try:
+                stored = await store.watch(TABLE, etag, WATCH_SECONDS)
+            except StoreUnavailableError:
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            if stored is not None:
+                etag = stored.etag
+                self.install(stored.value)
--- /dev/null
+++ b/auburncart/exception.py
@@ -0,0 +1,75 @@
+"""Exceptions raised by auburncart, all below one base class."""
+
+__all__ = [
+    "AuburncartError",
+    "InputError",
+    "LinkError",
+    "ProtocolError",
+    "SettingsError",
+    "StoreConflictError",
+    "StoreUnavailableError",
+    "UpstreamError",
+]
+
+
+class AuburncartError(Exception):
+    """Base class of the exceptions of this package.
+
+    :param reason: what went wrong, in words an operator understands.
+    :param step: name of the step at which the error arose, such as ``"connect"``.
+    :param peer: address of the other side, or ``""`` where there is none.
+
+    >>> str(AuburncartError("timed out", step="connect", peer="127.0.0.1:9000"))
+    'connect 127.0.0.1:9000: timed out'
+    """
+
+    def __init__(self, reason: str, *, step: str = "", peer: str = "") -> None:
+        super().__init__(reason, step, peer)
+        self.reason = reason
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        where = " ".join(part for part in (self.step, self.peer) if part)
+        return f"{where}: {self.reason}" if where else self.reason
+
+
+class InputError(AuburncartError):
+    """A caller's request, a table or a file does not have the expected form."""
+
+
+class SettingsError(InputError):
+    """A settings file has faults; ``faults`` names all of them."""
+
+    def __init__(
+        self, reason: str, *, faults: tuple[str, ...] = (), step: str = "settings"
+    ) -> None:
+        super().__init__(reason, step=step)
+        self.faults = faults
+
+
+class ProtocolError(AuburncartError):
+    """A message from a peer, an upstream or the platform does not have the agreed form."""
+
+
+class UpstreamError(AuburncartError):
+    """A request to an upstream has no answer.
+
+    :param sent: whether any byte of the request may have reached the upstream.
+    """
+
+    def __init__(self, reason: str, *, step: str = "", peer: str = "", sent: bool = True) -> None:
+        super().__init__(reason, step=step, peer=peer)
+        self.sent = sent
+
+
+class LinkError(AuburncartError):
+    """A link to another entry VM failed or was refused."""
+
+
+class StoreUnavailableError(AuburncartError):
+    """The platform's store gave no reply; a write may have taken effect all the same."""
+
+
+class StoreConflictError(AuburncartError):
+    """A conditional write found another version than the one it named; it did not take effect."""
--- /dev/null
+++ b/auburncart/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The encoding of every message; one module for each other side."""
--- /dev/null
+++ b/auburncart/protocol/caller.py
@@ -0,0 +1,206 @@
+"""JSON between callers and an entry VM.
+
+A search::
+
+    POST /v1/search
+    {"customer": "ladera", "kind": "closure", "query": "net 12", "deadline_ms": 800}
+
+    200 {"request_id": "...", "snapshot": "s7", "hits": [...],
+         "coverage": {"asked": 52, "answered": 52, "complete": true, "missing": []}}
+
+A refusal states whether the request ran::
+
+    429 {"error": "overloaded", "reason": "...", "ran": "no", "step": "queue", "retry_after": 1.5}
+"""
+
+from typing import Any, NotRequired, TypedDict
+
+import msgspec
+
+from auburncart.exception import InputError
+from auburncart.state import (
+    OrderAnswer,
+    OrderRequest,
+    Refusal,
+    RefusalCode,
+    SearchAnswer,
+    SearchRequest,
+)
+
+__all__ = [
+    "MAX_BODY_BYTES",
+    "STATUS_BY_CODE",
+    "decode_order",
+    "decode_search",
+    "encode_order_answer",
+    "encode_refusal",
+    "encode_search_answer",
+]
+
+MAX_BODY_BYTES = 64 * 1024
+MAX_NAME_LENGTH = 200
+MAX_QUERY_LENGTH = 16 * 1024
+MAX_SHARDS = 20_000
+MIN_DEADLINE_MS = 1
+MAX_DEADLINE_MS = 600_000
+
+STATUS_BY_CODE = {
+    RefusalCode.BAD_REQUEST: 400,
+    RefusalCode.CONFLICT: 409,
+    RefusalCode.TOO_LARGE: 413,
+    RefusalCode.OVERLOADED: 429,
+    RefusalCode.UNAVAILABLE: 503,
+    RefusalCode.TIMED_OUT: 504,
+    RefusalCode.FAILED: 502,
+}
+
+
+class SearchBody(TypedDict):
+    """Body of a search."""
+
+    customer: str
+    kind: str
+    query: str
+    deadline_ms: int
+    request_id: NotRequired[str]
+    shards: NotRequired[list[str]]
+
+
+class OrderBody(TypedDict):
+    """Body of an order."""
+
+    customer: str
+    kind: str
+    shard: str
+    key: str
+    order: str
+    deadline_ms: int
+    request_id: NotRequired[str]
+
+
+def decode_search(body: bytes, request_id: str, now: float) -> SearchRequest:
+    """Return the search in a request body.
+
+    :param body: JSON in UTF-8.
+    :param request_id: identifier to use where the body has none.
+    :param now: loop time in seconds at which it arrived.
+    :raises InputError: the body does not have the form of a search; nothing was run.
+
+    >>> body = b'{"customer":"c","kind":"k","query":"q","deadline_ms":500}'
+    >>> decode_search(body, "r1", 10.0).deadline
+    10.5
+    """
+    fields = _decode(body, SearchBody)
+    shards = fields.get("shards", [])
+    if len(shards) > MAX_SHARDS or len(set(shards)) != len(shards):
+        raise InputError(f"shards: expected at most {MAX_SHARDS} different names", step="parse")
+    _check_text(fields["query"], "query", MAX_QUERY_LENGTH)
+    return SearchRequest(
+        _name(fields.get("request_id", request_id), "request_id"),
+        _name(fields["customer"], "customer"),
+        _name(fields["kind"], "kind"),
+        fields["query"],
+        now + _seconds(fields["deadline_ms"]),
+        tuple(_name(shard, "shards") for shard in shards),
+    )
+
+
+def decode_order(body: bytes, request_id: str, now: float) -> OrderRequest:
+    """Return the order in a request body.
+
+    :param body: JSON in UTF-8.
+    :param request_id: identifier to use where the body has none.
+    :param now: loop time in seconds at which it arrived.
+    :raises InputError: the body does not have the form of an order; nothing was run.
+    """
+    fields = _decode(body, OrderBody)
+    _check_text(fields["order"], "order", MAX_QUERY_LENGTH)
+    return OrderRequest(
+        _name(fields.get("request_id", request_id), "request_id"),
+        _name(fields["key"], "key"),
+        _name(fields["customer"], "customer"),
+        _name(fields["kind"], "kind"),
+        _name(fields["shard"], "shard"),
+        fields["order"],
+        now + _seconds(fields["deadline_ms"]),
+    )
+
+
+def encode_search_answer(answer: SearchAnswer) -> bytes:
+    """Return the JSON of an answer with its coverage."""
+    coverage = answer.coverage
+    missing = [
+        {"shard": gap.shard, "step": gap.step.value, "peer": gap.peer, "reason": gap.reason}
+        for gap in coverage.missing
+    ]
+    return msgspec.json.encode(
+        {
+            "request_id": answer.request_id,
+            "snapshot": answer.snapshot,
+            "hits": answer.hits,
+            "coverage": {
+                "asked": coverage.asked,
+                "answered": coverage.answered,
+                "complete": coverage.complete,
+                "missing": missing,
+            },
+        }
+    )
+
+
+def encode_order_answer(answer: OrderAnswer) -> bytes:
+    """Return the JSON of what became of an order."""
+    return msgspec.json.encode(
+        {
+            "request_id": answer.request_id,
+            "key": answer.key,
+            "ran": answer.ran.value,
+            "outcome": answer.outcome,
+            "repeated": answer.repeated,
+        }
+    )
+
+
+def encode_refusal(refusal: Refusal, request_id: str) -> bytes:
+    """Return the JSON of a refusal, which states whether the request ran."""
+    return msgspec.json.encode(
+        {
+            "request_id": request_id,
+            "error": refusal.code.value,
+            "reason": refusal.reason,
+            "ran": refusal.ran.value,
+            "step": refusal.step.value,
+            "peer": refusal.peer,
+            "retry_after": refusal.retry_after,
+        }
+    )
+
+
+def _decode(body: bytes, form: Any) -> Any:
+    try:
+        return msgspec.json.decode(body, type=form)
+    except RecursionError as error:
+        raise InputError("nested too deeply", step="parse") from error
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise InputError(str(error), step="parse") from error
+
+
+def _name(text: str, field: str) -> str:
+    _check_text(text, field, MAX_NAME_LENGTH)
+    if not text or not text.isprintable():
+        raise InputError(f"{field}: expected printable text, at least one character", step="parse")
+    return text
+
+
+def _check_text(text: str, field: str, longest: int) -> None:
+    if len(text) > longest:
+        raise InputError(
+            f"{field}: {len(text)} characters, expected at most {longest}", step="parse"
+        )
+
+
+def _seconds(milliseconds: int) -> float:
+    if not MIN_DEADLINE_MS <= milliseconds <= MAX_DEADLINE_MS:
+        expected = f"expected {MIN_DEADLINE_MS} to {MAX_DEADLINE_MS}"
+        raise InputError(f"deadline_ms: {milliseconds}, {expected}", step="parse")
+    return milliseconds / 1000.0
--- /dev/null
+++ b/auburncart/protocol/platform.py
@@ -0,0 +1,127 @@
+"""Keys, tags and values of the platform's object store, and its list of VMs.
+
+Objects are JSON under ``/v1/objects/KIND/NAME``. A write names the tag that it expects in
+``If-Match``, or ``If-None-Match: *`` for an absent object; a watch is a read with
+``If-None-Match: TAG`` and ``?wait=SECONDS``, answered by 304 if nothing changed.
+"""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from auburncart.coordination.interfaces import Key
+from auburncart.exception import ProtocolError
+from auburncart.state import Claim, Condition, Member, Replica, Shard, ShardMap, TableDocument
+
+__all__ = [
+    "MAX_VALUE_BYTES",
+    "PATH_MEMBERS",
+    "decode_members",
+    "decode_value",
+    "encode_value",
+    "object_path",
+]
+
+MAX_VALUE_BYTES = 1_000_000
+PATH_MEMBERS = "/v1/vms"
+
+
+class _Codec(NamedTuple):
+    """Encoding of one kind of stored object."""
+
+    encode: Callable[[Any], Any]
+    decode: Callable[[Any], Any]
+
+
+def object_path(key: Key[Any]) -> str:
+    """Return the URL path of an object.
+
+    >>> object_path(Key("table", "current"))
+    '/v1/objects/table/current'
+    """
+    return f"/v1/objects/{key.kind}/{key.name}"
+
+
+def encode_value(key: Key[Any], value: Any) -> bytes:
+    """Return the JSON of a stored object.
+
+    :raises ProtocolError: the value is larger than the store takes.
+    """
+    body = msgspec.json.encode(CODECS[key.kind].encode(value))
+    if len(body) > MAX_VALUE_BYTES:
+        raise ProtocolError(f"{len(body)} bytes, the store takes {MAX_VALUE_BYTES}", step="store")
+    return body
+
+
+def decode_value(key: Key[Any], body: bytes) -> Any:
+    """Return the object in a stored value.
+
+    :raises ProtocolError: the value does not have the form of its kind.
+    """
+    try:
+        return CODECS[key.kind].decode(msgspec.json.decode(body))
+    except (msgspec.MsgspecError, KeyError, TypeError, ValueError, RecursionError) as error:
+        raise ProtocolError(f"stored {key.kind}/{key.name}: {error}", step="store") from error
+
+
+def decode_members(body: bytes) -> tuple[Member, ...]:
+    """Return the platform's list of VMs.
+
+    :raises ProtocolError: the body does not have the form of such a list.
+    """
+    try:
+        entries = msgspec.json.decode(body, type=list[dict[str, Any]])
+        return tuple(_member(entry) for entry in entries)
+    except (msgspec.MsgspecError, KeyError, ValueError) as error:
+        raise ProtocolError(f"list of VMs: {error}", step="store") from error
+
+
+def _member(entry: dict[str, Any]) -> Member:
+    return Member(
+        entry["address"],
+        entry["data_centre"],
+        int(entry.get("incarnation", 0)),
+        Condition(entry.get("condition", "live")),
+    )
+
+
+def _encode_map(shard_map: ShardMap) -> dict[str, Any]:
+    shards = {
+        name: [list(replica) for replica in shard.replicas]
+        for name, shard in shard_map.shards.items()
+    }
+    return {"snapshot": shard_map.snapshot, "version": shard_map.version, "shards": shards}
+
+
+def _decode_map(fields: dict[str, Any]) -> ShardMap:
+    known: dict[str, Replica] = {}
+    shards = {
+        name: Shard(name, tuple(_replica(entry, known) for entry in entries))
+        for name, entries in fields["shards"].items()
+    }
+    return ShardMap(str(fields["snapshot"]), int(fields["version"]), shards)
+
+
+def _replica(entry: list[Any], known: dict[str, Replica]) -> Replica:
+    replica = msgspec.convert(entry, type=Replica)
+    return known.setdefault(replica.address, replica)
+
+
+def _decode_table(fields: Any) -> TableDocument:
+    return msgspec.convert(fields, type=TableDocument)
+
+
+def _decode_claim(fields: Any) -> Claim:
+    return msgspec.convert(fields, type=Claim)
+
+
+def _plain(value: Any) -> Any:
+    return msgspec.to_builtins(value)
+
+
+CODECS: dict[str, _Codec] = {
+    "table": _Codec(_plain, _decode_table),
+    "shards": _Codec(_encode_map, _decode_map),
+    "claims": _Codec(_plain, _decode_claim),
+}
--- /dev/null
+++ b/auburncart/standins/site.py
@@ -0,0 +1,51 @@
+"""A small site for demonstrations: upstreams by shard and the objects that the store holds."""
+
+from typing import Any
+
+from auburncart.coordination import SHARD_MAP, TABLE
+from auburncart.protocol.platform import encode_value, object_path
+from auburncart.standins.platform import PlatformModel
+from auburncart.standins.upstream import UpstreamShape
+from auburncart.state import Rank, Replica, Row, Shard, ShardMap, Table, TableDocument
+
+__all__ = ["DEMO_TABLE", "demo_hits", "make_shard_map", "publish"]
+
+DEMO_TABLE = TableDocument(
+    Table(
+        1,
+        (
+            Row("*", "closure", Rank.URGENT, 4.0),
+            Row("*", "schedule", Rank.NORMAL, 2.0),
+            Row("*", "archive", Rank.BACKGROUND, 1.0),
+        ),
+    )
+)
+
+
+def demo_hits(shard: str) -> tuple[dict[str, Any], ...]:
+    """Return the one record that a demonstration shard holds."""
+    return ({"record": f"{shard}/1", "text": f"defect in the net of {shard}"},)
+
+
+def make_shard_map(
+    shapes: list[UpstreamShape], data_centres: list[str], batch_limit: int
+) -> ShardMap:
+    """Return the shard map of some upstreams.
+
+    :param shapes: the upstreams.
+    :param data_centres: data centre of each.
+    :param batch_limit: most sub-queries in one request.
+    """
+    replicas: dict[str, list[Replica]] = {}
+    for shape, data_centre in zip(shapes, data_centres, strict=True):
+        replica = Replica(shape.address, data_centre, shape.slots, shape.connections, batch_limit)
+        for shard in shape.shards:
+            replicas.setdefault(shard, []).append(replica)
+    shards = {name: Shard(name, tuple(held)) for name, held in sorted(replicas.items())}
+    return ShardMap(shapes[0].snapshot, 1, shards)
+
+
+async def publish(model: PlatformModel, shard_map: ShardMap, table: TableDocument) -> None:
+    """Write a shard map and a table as the first objects of a store."""
+    await model.write(object_path(SHARD_MAP), encode_value(SHARD_MAP, shard_map), "")
+    await model.write(object_path(TABLE), encode_value(TABLE, table), "")
--- /dev/null
+++ b/auburncart/state/__init__.py
@@ -0,0 +1,63 @@
+"""Plain data, without behaviour that waits, decides or encodes."""
+
+from auburncart.state.failure import Failure, FailureCode, Ran, Refusal, RefusalCode, Step
+from auburncart.state.member import Condition, Member
+from auburncart.state.order import Claim, ClaimState, OrderAnswer, OrderRequest
+from auburncart.state.search import (
+    Coverage,
+    Hit,
+    MissingShard,
+    SearchAnswer,
+    SearchRequest,
+    ShardAnswer,
+    SubQuery,
+    coverage_of,
+)
+from auburncart.state.shards import Replica, Shard, ShardMap
+from auburncart.state.table import AuditEntry, Row, Table, TableDocument, find_row
+from auburncart.state.upstream import (
+    Batch,
+    BatchReply,
+    OrderReply,
+    UpstreamCondition,
+    UpstreamOrder,
+)
+from auburncart.state.work import Rank, Work
+
+__all__ = [
+    "AuditEntry",
+    "Batch",
+    "BatchReply",
+    "Claim",
+    "ClaimState",
+    "Condition",
+    "Coverage",
+    "Failure",
+    "FailureCode",
+    "Hit",
+    "Member",
+    "MissingShard",
+    "OrderAnswer",
+    "OrderReply",
+    "OrderRequest",
+    "Ran",
+    "Rank",
+    "Refusal",
+    "RefusalCode",
+    "Replica",
+    "Row",
+    "SearchAnswer",
+    "SearchRequest",
+    "Shard",
+    "ShardAnswer",
+    "ShardMap",
+    "Step",
+    "SubQuery",
+    "Table",
+    "TableDocument",
+    "UpstreamCondition",
+    "UpstreamOrder",
+    "Work",
+    "coverage_of",
+    "find_row",
+]
--- /dev/null
+++ b/auburncart/state/table.py
@@ -0,0 +1,95 @@
+"""The operators' table of weights and limits per customer and kind of work."""
+
+from typing import NamedTuple
+
+from auburncart.state.work import Rank
+
+__all__ = ["AuditEntry", "Row", "Table", "TableDocument", "find_row"]
+
+ANY_CUSTOMER = "*"
+
+
+class Row(NamedTuple):
+    """One row: a customer and a kind of work.
+
+    :param customer: name of the customer, or ``"*"`` for every customer without a row.
+    :param kind: kind of work.
+    :param rank: rank of that kind for that customer.
+    :param weight: share of the rank's capacity relative to other rows; above 0.
+    :param max_in_flight: most requests at work at the same time, per data centre.
+    :param max_queued: most requests waiting at the same time, per VM.
+    :param max_rate: most requests per second over the whole tier; 0 for no limit.
+    """
+
+    customer: str
+    kind: str
+    rank: Rank
+    weight: float = 1.0
+    max_in_flight: int = 64
+    max_queued: int = 64
+    max_rate: float = 0.0
+
+
+class Table(NamedTuple):
+    """The table in force.
+
+    :param version: number that grows by one with every accepted change.
+    :param rows: all rows.
+    :param floors: share of capacity that a rank keeps in any flood, from 0 to 1, by rank.
+    """
+
+    version: int
+    rows: tuple[Row, ...]
+    floors: tuple[float, float, float] = (0.0, 0.1, 0.05)
+
+
+class AuditEntry(NamedTuple):
+    """A record of one accepted change.
+
+    :param version: version of the table that the change made.
+    :param change_id: identifier chosen by the writer, by which it knows its own write again.
+    :param who: operator.
+    :param when: seconds since the epoch.
+    :param address: address from which the change was made.
+    :param before: rows changed or removed, as they were.
+    :param after: rows changed or added, as they are.
+    """
+
+    version: int
+    change_id: str
+    who: str
+    when: float
+    address: str
+    before: tuple[Row, ...]
+    after: tuple[Row, ...]
+
+
+class TableDocument(NamedTuple):
+    """The stored value: the table, its recent audit entries, and where older ones are.
+
+    :param table: the table in force.
+    :param audit: recent entries, oldest first, without a gap up to the table's version.
+    :param archived: number of the newest archive object, 0 if there is none.
+    """
+
+    table: Table
+    audit: tuple[AuditEntry, ...] = ()
+    archived: int = 0
+
+
+def find_row(table: Table, customer: str, kind: str) -> Row | None:
+    """Return the row for a customer and kind, or the kind's ``"*"`` row, or None.
+
+    >>> table = Table(1, (Row("*", "search", Rank.URGENT),))
+    >>> find_row(table, "ladera", "search").customer
+    '*'
+    """
+    fallback = None
+    for row in table.rows:
+        if row.kind != kind:
+            continue
+        if row.customer == customer:
+            return row
+        if row.customer == ANY_CUSTOMER:
+            fallback = row
+    return fallback
--- /dev/null
+++ b/auburncart/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, threads and servers; each module carries the messages of one protocol module."""
--- /dev/null
+++ b/auburncart/transport/cherry.py
@@ -0,0 +1,21 @@
+"""CherryPy applications without CherryPy's global engine, log and configuration."""
+
+import cherrypy
+
+__all__ = ["make_application"]
+
+cherrypy.config.update({"log.screen": False})
+
+
+def make_application(root: object, config: dict[str, object]) -> cherrypy.Application:
+    """Return a WSGI application that hands request bodies to its handlers as they are.
+
+    :param root: object with exposed handlers, mounted at ``/v1``.
+    :param config: settings beside those that every application has.
+    """
+    common = {
+        "request.process_request_body": False,
+        "request.show_tracebacks": False,
+        "request.methods_with_bodies": ("POST", "PUT"),
+    }
+    return cherrypy.Application(root, "/v1", {"/": {**common, **config}})
--- /dev/null
+++ b/auburncart/transport/http.py
@@ -0,0 +1,96 @@
+"""A kept HTTP connection with a thread of its own, which can be closed while it waits."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+
+from auburncart.exception import LinkError
+from auburncart.transport.worker import Worker
+
+__all__ = ["HttpConnection", "HttpReply"]
+
+
+class HttpReply(NamedTuple):
+    """Status, headers and body of a reply."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class HttpConnection:
+    """One connection; it carries one request at a time and is not used again after an error.
+
+    :param address: ``"IP:port"`` of the server.
+    :param connect_seconds: time limit for opening the connection.
+    :param most_bytes: longest reply taken.
+    """
+
+    def __init__(self, address: str, connect_seconds: float, most_bytes: int) -> None:
+        host, port = address.rsplit(":", 1)
+        self._address = address
+        self._most_bytes = most_bytes
+        self._worker = Worker(f"http-{address}")
+        self._http = HTTPConnection(host, int(port), timeout=connect_seconds)
+
+    async def connect(self) -> None:
+        """Open the connection.
+
+        :raises LinkError: the server could not be reached.
+        """
+        try:
+            await self._worker.run(self._http.connect)
+        except (HTTPError, OSError) as error:
+            self.close()
+            reason = f"{type(error).__name__}: {error}"
+            raise LinkError(reason, step="connect", peer=self._address) from error
+        except asyncio.CancelledError:
+            self.close()
+            raise
+
+    async def request(
+        self, method: str, path: str, body: bytes | None, headers: dict[str, str], seconds: float
+    ) -> HttpReply:
+        """Send one request and wait for its reply.
+
+        :param seconds: time limit for each wait on the socket.
+        :raises LinkError: no whole reply arrived.
+        """
+        try:
+            return await self._worker.run(self._call, method, path, body, headers, seconds)
+        except (HTTPError, OSError, ValueError) as error:
+            self.close()
+            reason = f"{type(error).__name__}: {error}"
+            raise LinkError(reason, step="reply", peer=self._address) from error
+        except asyncio.CancelledError:
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """Shut the socket down, which also ends a call at work, and let the thread end."""
+        sock = self._http.sock
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            with contextlib.suppress(OSError):
+                sock.close()
+        self._worker.stop()
+
+    def _call(
+        self, method: str, path: str, body: bytes | None, headers: dict[str, str], seconds: float
+    ) -> HttpReply:
+        self._http.timeout = seconds
+        if self._http.sock is not None:
+            self._http.sock.settimeout(seconds)
+        self._http.request(method, path, body=body, headers=headers, preload_content=False)
+        response = self._http.getresponse()
+        data = response.read(self._most_bytes + 1)
+        if len(data) > self._most_bytes:
+            raise HTTPError(f"reply longer than {self._most_bytes} bytes")
+        response.read()
+        return HttpReply(response.status, response.headers, data)
