--- a/auburncart/standins/fakes.py
+++ b/auburncart/standins/fakes.py
@@ -1,18 +1,27 @@
 """The stand-ins behind coordination's abstract base classes, without sockets or threads."""
 
 import asyncio
-from typing import TypeVar
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
 
 import msgspec
 
-from auburncart.coordination import Key, Store, Stored, UpstreamConnection, UpstreamDialer
-from auburncart.exception import StoreConflictError, StoreUnavailableError, UpstreamError
+from auburncart.coordination import (
+    Key,
+    Membership,
+    PeerBus,
+    Store,
+    Stored,
+    UpstreamConnection,
+    UpstreamDialer,
+)
+from auburncart.exception import LinkError, StoreConflictError, StoreUnavailableError, UpstreamError
 from auburncart.protocol import platform as protocol
 from auburncart.standins.platform import PlatformModel, PlatformOutageError, TagMismatchError
 from auburncart.standins.upstream import UpstreamCrashError, UpstreamModel
 from auburncart.state import Batch, BatchReply, Member, OrderReply, Replica, UpstreamOrder
 
-__all__ = ["FakeConnection", "FakeDialer", "FakeStore"]
+__all__ = ["FakeBus", "FakeConnection", "FakeDialer", "FakeMembership", "FakeNetwork", "FakeStore"]
 
 T = TypeVar("T")
 
@@ -150,3 +159,107 @@
         model = self._models.get(replica.address)
         if model is not None and replica.address not in self.cut:
             model.cancel(request_id)
+
+
+class FakeNetwork:
+    """Carries facts and questions between the :class:`FakeBus` of each VM.
+
+    :param seconds: time one way.
+    """
+
+    def __init__(self, seconds: float = 0.001) -> None:
+        self._seconds = seconds
+        self._cuts: set[frozenset[str]] = set()
+        self.buses: dict[str, FakeBus] = {}
+
+    @property
+    def seconds(self) -> float:
+        """Time one way."""
+        return self._seconds
+
+    def cut(self, left: str, right: str) -> None:
+        """Lose everything between two addresses."""
+        self._cuts.add(frozenset((left, right)))
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self._cuts.clear()
+
+    def reaches(self, left: str, right: str) -> bool:
+        """Return whether two addresses are not cut off from each other."""
+        return frozenset((left, right)) not in self._cuts
+
+
+class FakeBus(PeerBus):
+    """The bus of one VM on a :class:`FakeNetwork`."""
+
+    def __init__(self, own: Member, network: FakeNetwork) -> None:
+        self._own = own
+        self._network = network
+        self._handlers: dict[type, list[Callable[[Any, Member], None]]] = {}
+        self._servers: dict[type, Callable[[Any, Member], Awaitable[tuple[Any, ...]]]] = {}
+        network.buses[own.address] = self
+
+    def publish(self, fact: tuple[Any, ...]) -> None:
+        """Hand the fact to all that are reached, after the network's time."""
+        loop = asyncio.get_running_loop()
+        for address, bus in self._network.buses.items():
+            if address != self._own.address and self._network.reaches(address, self._own.address):
+                loop.call_later(self._network.seconds, bus.receive, fact, self._own)
+
+    def subscribe(self, kind: type, handler: Callable[[Any, Member], None]) -> None:
+        """Call the handler for each fact of a kind."""
+        self._handlers.setdefault(kind, []).append(handler)
+
+    async def ask(
+        self, member: Member, question: tuple[Any, ...], timeout: float
+    ) -> tuple[Any, ...]:
+        """Put a question to one VM."""
+        bus = self._network.buses.get(member.address)
+        if bus is None or not self._network.reaches(member.address, self._own.address):
+            await asyncio.sleep(timeout)
+            raise LinkError("no answer", step="ask", peer=member.address)
+        await asyncio.sleep(self._network.seconds)
+        answer = await bus.answer(question, self._own)
+        await asyncio.sleep(self._network.seconds)
+        return answer
+
+    def serve(
+        self, kind: type, handler: Callable[[Any, Member], Awaitable[tuple[Any, ...]]]
+    ) -> None:
+        """Answer questions of a kind."""
+        self._servers[kind] = handler
+
+    def receive(self, fact: tuple[Any, ...], origin: Member) -> None:
+        """Take a fact in."""
+        for handler in self._handlers.get(type(fact), []):
+            handler(fact, origin)
+
+    async def answer(self, question: tuple[Any, ...], origin: Member) -> tuple[Any, ...]:
+        """Answer a question."""
+        return await self._servers[type(question)](question, origin)
+
+
+class FakeMembership(Membership):
+    """A membership that a test sets.
+
+    :param own: this VM.
+    :param members: all VMs, this one among them.
+    """
+
+    def __init__(self, own: Member, members: tuple[Member, ...] = ()) -> None:
+        self._own = own
+        self.members = members or (own,)
+
+    @property
+    def own(self) -> Member:
+        """This VM."""
+        return self._own
+
+    def live(self, data_centre: str) -> tuple[Member, ...]:
+        """Return the VMs of a data centre, by address."""
+        return tuple(sorted(member for member in self.members if member.data_centre == data_centre))
+
+    def possible(self, data_centre: str) -> int:
+        """Return their number."""
+        return len(self.live(data_centre))
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -1,5 +1,6 @@
 """Plain data, without behaviour that waits, decides or encodes."""
 
+from auburncart.state.fact import FACTS, QueryLoss, TableNews
 from auburncart.state.failure import Failure, FailureCode, Ran, Refusal, RefusalCode, Step
 from auburncart.state.member import Condition, Member
 from auburncart.state.order import Claim, ClaimState, OrderAnswer, OrderRequest
@@ -32,6 +33,7 @@
     "ClaimState",
     "Condition",
     "Coverage",
+    "FACTS",
     "Failure",
     "FailureCode",
     "Hit",
@@ -40,6 +42,7 @@
     "OrderAnswer",
     "OrderReply",
     "OrderRequest",
+    "QueryLoss",
     "Ran",
     "Rank",
     "Refusal",
@@ -55,6 +58,7 @@
     "SubQuery",
     "Table",
     "TableDocument",
+    "TableNews",
     "UpstreamCondition",
     "UpstreamOrder",
     "Work",
