Callers' ports: ranks apart, slow senders ended, sizes bounded, metrics per process

Cause: with one port the server's threads were where ranks queued; a client that sends a byte now and then held a thread for ever, since cheroot bounds each receive and not the request; collectors went into the library's global registry, so a second entry in one process failed ('already registered', seen in the new tests).

Change: an urgent port with threads of its own behind a RankGate; one watch thread that ends a request not read within 5 s by 408; backlog 512, at most 256 connections waiting for a thread; bodies above 64 KiB refused unread with ran: no; a registry for each MetricsObserver.

Ruled out: many threads on one port (any number can be filled); a timer thread for each connection.

Result: with 12 archive searches against 4 general threads the urgent port answers; two half-sent requests on a server of two threads get 408 and the next search is answered.

--- a/auburncart/daemon/entry.py
+++ b/auburncart/daemon/entry.py
@@ -14,9 +14,10 @@
     TableKeeper,
     Upstream,
 )
+from auburncart.coordination.gate import EveryRankGate, OneRankGate
 from auburncart.coordination.policies import Policies, baseline_policies
 from auburncart.settings import EntrySettings
-from auburncart.state import Replica
+from auburncart.state import Rank, Replica
 from auburncart.transport.loop import LoopBridge
 from auburncart.transport.metrics import MetricsObserver
 from auburncart.transport.store import HttpStore
@@ -66,16 +67,20 @@
         self._tasks.append(asyncio.create_task(self._tables.follow(self._store), name="table"))
         self._tasks.append(asyncio.create_task(self._catalogue.follow(self._store), name="shards"))
         bridge = LoopBridge(asyncio.get_running_loop())
-        application = CallerApplication(
-            self._settings.name, bridge, self._searches, self._orders, self._metrics
-        )
         settings = self._settings
         ports = (
-            (settings.general_address, settings.general_threads),
-            (settings.urgent_address, settings.urgent_threads),
+            (settings.general_address, settings.general_threads, EveryRankGate()),
+            (
+                settings.urgent_address,
+                settings.urgent_threads,
+                OneRankGate(self._tables, Rank.URGENT),
+            ),
         )
-        for address, threads in ports:
-            server = CallerServer(address, application, threads)
+        for address, threads, gate in ports:
+            application = CallerApplication(
+                settings.name, bridge, gate, self._searches, self._orders, self._metrics
+            )
+            server = CallerServer(address, application, threads, bridge.time)
             server.start()
             self._servers.append(server)
 
--- a/auburncart/exception.py
+++ b/auburncart/exception.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "AuburncartError",
+    "BodySizeError",
     "InputError",
     "LinkError",
     "ProtocolError",
@@ -38,6 +39,10 @@
     """A caller's request, a table or a file does not have the expected form."""
 
 
+class BodySizeError(InputError):
+    """A caller's request is larger than an entry VM takes."""
+
+
 class SettingsError(InputError):
     """A settings file has faults; ``faults`` names all of them."""
 
--- a/auburncart/transport/cherry.py
+++ b/auburncart/transport/cherry.py
@@ -18,4 +18,10 @@
         "request.show_tracebacks": False,
         "request.methods_with_bodies": ("POST", "PUT"),
     }
-    return cherrypy.Application(root, "/v1", {"/": {**common, **config}})
+    application = cherrypy.Application(root, "/v1", {"/": {**common, **config}})
+    application.log.access = _no_access_log
+    return application
+
+
+def _no_access_log() -> None:
+    """Write nothing: the log of each request is eliot's."""
--- a/auburncart/transport/metrics.py
+++ b/auburncart/transport/metrics.py
@@ -1,5 +1,7 @@
 """Metrics in the usual exposition format."""
 
+from typing import Any
+
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from auburncart.coordination import Observer
@@ -15,14 +17,15 @@
 
     def __init__(self) -> None:
         self._registry = Registry()
-        self._requests = self._add(Counter("auburncart_requests_total", "Ended requests"))
-        self._seconds = self._add(
-            Histogram("auburncart_request_seconds", "Time of a request", buckets=SECONDS_BUCKETS)
+        own: dict[str, Any] = {"registry": self._registry}
+        self._requests = Counter("auburncart_requests_total", "Ended requests", **own)
+        self._seconds = Histogram(
+            "auburncart_request_seconds", "Time of a request", buckets=SECONDS_BUCKETS, **own
         )
-        self._subs = self._add(Counter("auburncart_sub_queries_total", "Sub-queries sent"))
-        self._connections = self._add(Gauge("auburncart_upstream_connections", "Open connections"))
-        self._events = self._add(Counter("auburncart_events_total", "Other events by name"))
-        self._values = self._add(Gauge("auburncart_value", "Other values by name"))
+        self._subs = Counter("auburncart_sub_queries_total", "Sub-queries sent", **own)
+        self._connections = Gauge("auburncart_upstream_connections", "Open connections", **own)
+        self._events = Counter("auburncart_events_total", "Other events by name", **own)
+        self._values = Gauge("auburncart_value", "Other values by name", **own)
 
     def request_ended(self, rank: Rank, outcome: str, seconds: float) -> None:
         """Count a request and its time."""
@@ -49,7 +52,3 @@
     def render(self, accept: str = "") -> tuple[bytes, dict[str, str]]:
         """Return the body and headers of a scrape."""
         return render(self._registry, [accept or "text/plain"])
-
-    def _add(self, collector):  # type: ignore[no-untyped-def]
-        self._registry.register(collector)
-        return collector
--- a/auburncart/transport/web.py
+++ b/auburncart/transport/web.py
@@ -3,24 +3,40 @@
 import itertools
 import math
 import threading
+from collections.abc import Callable
 
 import cherrypy
-from cheroot import wsgi
-from expression import Result
+from expression import Error, Result
 
 from auburncart.coordination import OrderService, SearchService
-from auburncart.exception import InputError
+from auburncart.coordination.gate import RankGate
+from auburncart.exception import BodySizeError, InputError
 from auburncart.protocol import caller as protocol
-from auburncart.state import Ran, Refusal, RefusalCode, Step
+from auburncart.state import (
+    OrderAnswer,
+    OrderRequest,
+    Ran,
+    Refusal,
+    RefusalCode,
+    SearchAnswer,
+    SearchRequest,
+    Step,
+)
 from auburncart.transport.cherry import make_application
 from auburncart.transport.loop import LoopBridge
 from auburncart.transport.metrics import MetricsObserver
+from auburncart.transport.reading import BODY_READ, ReadingServer
 
 __all__ = ["CallerApplication", "CallerServer"]
 
 MAX_HEADER_BYTES = 16 * 1024
 IDLE_SECONDS = 10
+READ_SECONDS = 5.0
 SHUTDOWN_SECONDS = 5
+BACKLOG = 512
+MOST_WAITING = 256  # connections with a request that wait for a thread; one more gets 503
+WAITING_SECONDS = 0.05
+HARD_BODY_BYTES = 1024 * 1024  # above this the server answers before the application
 JSON = "application/json"
 
 
@@ -28,17 +44,20 @@
     """Handlers of the caller's paths; each blocks its thread until the loop has answered.
 
     :param name: name of this VM, the front part of the request ids that it makes.
+    :param gate: decides which ranks this port takes.
     """
 
     def __init__(
         self,
         name: str,
         bridge: LoopBridge,
+        gate: RankGate,
         searches: SearchService,
         orders: OrderService,
         metrics: MetricsObserver,
     ) -> None:
         self._name = name
+        self._gate = gate
         self._bridge = bridge
         self._searches = searches
         self._orders = orders
@@ -53,7 +72,7 @@
             request = protocol.decode_search(_body(), request_id, self._bridge.time())
         except InputError as error:
             return _refuse(_bad_request(error), request_id)
-        result = self._bridge.call(self._searches.search(request))
+        result = self._bridge.call(self._search(request))
         return _respond(result, protocol.encode_search_answer, request.request_id)
 
     @cherrypy.expose
@@ -64,7 +83,7 @@
             request = protocol.decode_order(_body(), request_id, self._bridge.time())
         except InputError as error:
             return _refuse(_bad_request(error), request_id)
-        result = self._bridge.call(self._orders.order(request))
+        result = self._bridge.call(self._order(request))
         return _respond(result, protocol.encode_order_answer, request.request_id)
 
     @cherrypy.expose
@@ -74,6 +93,14 @@
         cherrypy.response.headers.update(headers)
         return body
 
+    async def _search(self, request: SearchRequest) -> Result[SearchAnswer, Refusal]:
+        refusal = self._gate.refusal(request.customer, request.kind)
+        return Error(refusal) if refusal else await self._searches.search(request)
+
+    async def _order(self, request: OrderRequest) -> Result[OrderAnswer, Refusal]:
+        refusal = self._gate.refusal(request.customer, request.kind)
+        return Error(refusal) if refusal else await self._orders.order(request)
+
     def _request_id(self) -> str:
         return f"{self._name}-r{next(self._numbers)}"
 
@@ -83,21 +110,35 @@
 
     :param address: ``"IP:port"`` to listen on.
     :param threads: number of threads, which bounds the requests at work.
+    :param clock: seconds of a clock that never goes back, the event loop's.
+    :param read_seconds: time limit for reading one request.
     """
 
-    def __init__(self, address: str, application: CallerApplication, threads: int) -> None:
+    def __init__(
+        self,
+        address: str,
+        application: CallerApplication,
+        threads: int,
+        clock: Callable[[], float],
+        read_seconds: float = READ_SECONDS,
+    ) -> None:
         host, port = address.rsplit(":", 1)
         app = make_application(application, {"error_page.default": _error_page})
-        self._server = wsgi.Server(
+        self._server = ReadingServer(
             (host, int(port)),
             app,
             numthreads=threads,
             max=threads,
             timeout=IDLE_SECONDS,
             shutdown_timeout=SHUTDOWN_SECONDS,
+            request_queue_size=BACKLOG,
+            accepted_queue_size=MOST_WAITING,
+            accepted_queue_timeout=WAITING_SECONDS,
+            read_seconds=read_seconds,
+            clock=clock,
         )
         self._server.max_request_header_size = MAX_HEADER_BYTES
-        self._server.max_request_body_size = protocol.MAX_BODY_BYTES
+        self._server.max_request_body_size = HARD_BODY_BYTES
         self._thread = threading.Thread(
             target=self._server.serve, name=f"callers-{address}", daemon=True
         )
@@ -127,13 +168,22 @@
 
 
 def _body() -> bytes:
-    if cherrypy.request.method != "POST":
-        raise InputError(f"method {cherrypy.request.method}, expected POST", step="parse")
-    return cherrypy.request.rfile.read()
+    request = cherrypy.request
+    if request.method != "POST":
+        raise InputError(f"method {request.method}, expected POST", step="parse")
+    length = int(request.headers.get("Content-Length", 0))
+    if length > protocol.MAX_BODY_BYTES:
+        cherrypy.response.headers["Connection"] = "close"
+        limit = protocol.MAX_BODY_BYTES
+        raise BodySizeError(f"body of {length} bytes, expected at most {limit}", step="parse")
+    body = request.rfile.read()
+    request.wsgi_environ[BODY_READ]()
+    return body
 
 
 def _bad_request(error: InputError) -> Refusal:
-    return Refusal(RefusalCode.BAD_REQUEST, error.reason, step=Step.PARSE)
+    code = RefusalCode.TOO_LARGE if isinstance(error, BodySizeError) else RefusalCode.BAD_REQUEST
+    return Refusal(code, error.reason, step=Step.PARSE)
 
 
 def _respond(result: Result, encode, request_id: str) -> bytes:  # type: ignore[no-untyped-def]
