--- a/auburncart/coordination/__init__.py
+++ b/auburncart/coordination/__init__.py
@@ -11,6 +11,7 @@
     UpstreamConnection,
     UpstreamDialer,
 )
+from auburncart.coordination.node import Node
 from auburncart.coordination.observer import Observer, SilentObserver
 from auburncart.coordination.order import OrderService
 from auburncart.coordination.policies import Policies, baseline_policies
@@ -23,6 +24,7 @@
     "Fleet",
     "Key",
     "Membership",
+    "Node",
     "Observer",
     "OrderService",
     "PeerBus",
--- /dev/null
+++ b/auburncart/coordination/node.py
@@ -0,0 +1,113 @@
+"""One VM's decisions put together, whatever its store, upstreams and front ends are made of."""
+
+import asyncio
+
+from auburncart.coordination.catalogue import Catalogue
+from auburncart.coordination.fleet import Fleet
+from auburncart.coordination.interfaces import Store, UpstreamDialer
+from auburncart.coordination.observer import Observer
+from auburncart.coordination.order import OrderService
+from auburncart.coordination.policies import Policies
+from auburncart.coordination.search import SearchService
+from auburncart.coordination.table import TableKeeper
+from auburncart.coordination.upstream import Upstream
+from auburncart.state import Replica
+
+__all__ = ["Node"]
+
+
+class Node:
+    """The services of one VM: :meth:`start` and :meth:`stop` are called once each.
+
+    :param name: name of the VM's process, unique in the tier.
+    :param data_centre: data centre in which it runs.
+    :param store: the platform's store.
+    :param dialer: opens connections to upstreams.
+    :param policies: the policies to decide by.
+    :param observer: told of what happens.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        store: Store,
+        dialer: UpstreamDialer,
+        policies: Policies,
+        observer: Observer,
+    ) -> None:
+        self._name = name
+        self._data_centre = data_centre
+        self._store = store
+        self._dialer = dialer
+        self._policies = policies
+        self._observer = observer
+        self._catalogue = Catalogue()
+        self._tables = TableKeeper()
+        self._fleet = Fleet(self._make_upstream)
+        self._searches = SearchService(
+            self._catalogue, self._tables, self._fleet, policies, observer
+        )
+        self._orders = OrderService(
+            name, store, self._catalogue, self._tables, self._fleet, policies.choice, observer
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def name(self) -> str:
+        """Name of the VM's process."""
+        return self._name
+
+    @property
+    def data_centre(self) -> str:
+        """Data centre in which the VM runs."""
+        return self._data_centre
+
+    @property
+    def tables(self) -> TableKeeper:
+        """The table in force."""
+        return self._tables
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """The shard map in force."""
+        return self._catalogue
+
+    @property
+    def fleet(self) -> Fleet:
+        """The upstreams."""
+        return self._fleet
+
+    @property
+    def searches(self) -> SearchService:
+        """The service that answers searches."""
+        return self._searches
+
+    @property
+    def orders(self) -> OrderService:
+        """The service that carries out orders."""
+        return self._orders
+
+    def start(self) -> None:
+        """Begin to follow the store, each object in a task of its own."""
+        self._tasks.append(asyncio.create_task(self._tables.follow(self._store), name="table"))
+        self._tasks.append(asyncio.create_task(self._catalogue.follow(self._store), name="shards"))
+
+    async def stop(self) -> None:
+        """End the tasks and all connections to upstreams."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._fleet.close()
+
+    def _make_upstream(self, replica: Replica) -> Upstream:
+        return Upstream(
+            replica,
+            local=replica.data_centre == self._data_centre,
+            name=self._name,
+            dialer=self._dialer,
+            batching=self._policies.batching,
+            limit=self._policies.limit,
+            quarantine=self._policies.quarantine,
+            observer=self._observer,
+        )
--- a/auburncart/daemon/entry.py
+++ b/auburncart/daemon/entry.py
@@ -6,18 +6,11 @@
 
 import eliot
 
-from auburncart.coordination import (
-    Catalogue,
-    Fleet,
-    OrderService,
-    SearchService,
-    TableKeeper,
-    Upstream,
-)
+from auburncart.coordination import Node
 from auburncart.coordination.gate import EveryRankGate, OneRankGate
 from auburncart.coordination.policies import Policies, baseline_policies
 from auburncart.settings import EntrySettings
-from auburncart.state import Rank, Replica
+from auburncart.state import Rank
 from auburncart.transport.loop import LoopBridge
 from auburncart.transport.metrics import MetricsObserver
 from auburncart.transport.store import HttpStore
@@ -37,25 +30,15 @@
         self._settings = settings
         self._metrics = MetricsObserver()
         self._store = HttpStore(settings.platform_address, settings.platform_token)
-        self._dialer = HttpUpstreamDialer()
-        self._policies = self._make_policies()
-        self._catalogue = Catalogue()
-        self._tables = TableKeeper()
-        self._fleet = Fleet(self._make_upstream)
-        self._searches = SearchService(
-            self._catalogue, self._tables, self._fleet, self._policies, self._metrics
-        )
-        self._orders = OrderService(
+        self._node = Node(
             settings.name,
+            settings.data_centre,
             self._store,
-            self._catalogue,
-            self._tables,
-            self._fleet,
-            self._policies.choice,
+            HttpUpstreamDialer(),
+            self._make_policies(),
             self._metrics,
         )
         self._servers: list[CallerServer] = []
-        self._tasks: list[asyncio.Task[None]] = []
 
     @property
     def addresses(self) -> tuple[str, ...]:
@@ -64,8 +47,7 @@
 
     async def start(self) -> None:
         """Follow the store and serve callers."""
-        self._tasks.append(asyncio.create_task(self._tables.follow(self._store), name="table"))
-        self._tasks.append(asyncio.create_task(self._catalogue.follow(self._store), name="shards"))
+        self._node.start()
         bridge = LoopBridge(asyncio.get_running_loop())
         settings = self._settings
         ports = (
@@ -73,12 +55,12 @@
             (
                 settings.urgent_address,
                 settings.urgent_threads,
-                OneRankGate(self._tables, Rank.URGENT),
+                OneRankGate(self._node.tables, Rank.URGENT),
             ),
         )
         for address, threads, gate in ports:
             application = CallerApplication(
-                settings.name, bridge, gate, self._searches, self._orders, self._metrics
+                settings.name, bridge, gate, self._node.searches, self._node.orders, self._metrics
             )
             server = CallerServer(address, application, threads, bridge.time)
             server.start()
@@ -88,27 +70,12 @@
         """Stop serving, then end every connection."""
         for server in self._servers:
             await asyncio.to_thread(server.stop)
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._fleet.close()
+        await self._node.stop()
         self._store.close()
 
     def _make_policies(self) -> Policies:
         return baseline_policies(self._settings.places, self._settings.connecting_vms)
 
-    def _make_upstream(self, replica: Replica) -> Upstream:
-        return Upstream(
-            replica,
-            local=replica.data_centre == self._settings.data_centre,
-            name=self._settings.name,
-            dialer=self._dialer,
-            batching=self._policies.batching,
-            limit=self._policies.limit,
-            quarantine=self._policies.quarantine,
-            observer=self._metrics,
-        )
-
 
 def start_log(log_file: str) -> None:
     """Send eliot's log to a file, to standard error for ``"-"``, or nowhere for ``""``."""
--- a/auburncart/tests/site.py
+++ b/auburncart/tests/site.py
@@ -2,22 +2,12 @@
 
 import asyncio
 
-from auburncart.coordination import (
-    Catalogue,
-    Fleet,
-    OrderService,
-    Policies,
-    SearchService,
-    SilentObserver,
-    TableKeeper,
-    Upstream,
-    baseline_policies,
-)
+from auburncart.coordination import Node, Policies, SilentObserver, baseline_policies
 from auburncart.standins.fakes import FakeDialer, FakeStore
 from auburncart.standins.platform import PlatformModel
 from auburncart.standins.site import DEMO_TABLE, demo_hits, make_shard_map
 from auburncart.standins.upstream import UpstreamModel, UpstreamShape
-from auburncart.state import Replica, SearchRequest
+from auburncart.state import SearchRequest
 
 __all__ = ["Site", "search_request"]
 
@@ -53,36 +43,14 @@
         self.platform = PlatformModel()
         self.store = FakeStore(self.platform)
         self.dialer = FakeDialer(self.models)
-        self.catalogue = Catalogue()
-        self.catalogue.install(self.shard_map)
-        self.tables = TableKeeper()
-        self.tables.install(DEMO_TABLE)
-        self.fleet = Fleet(self._make_upstream)
-        self.observer = SilentObserver()
-        self.searches = SearchService(
-            self.catalogue, self.tables, self.fleet, self.policies, self.observer
-        )
-        self.orders = OrderService(
-            "vm1",
-            self.store,
-            self.catalogue,
-            self.tables,
-            self.fleet,
-            self.policies.choice,
-            self.observer,
-        )
+        self.node = Node("vm1", "dc1", self.store, self.dialer, self.policies, SilentObserver())
+        self.node.catalogue.install(self.shard_map)
+        self.node.tables.install(DEMO_TABLE)
+        self.tables = self.node.tables
+        self.catalogue = self.node.catalogue
+        self.fleet = self.node.fleet
+        self.searches = self.node.searches
+        self.orders = self.node.orders
 
     async def close(self) -> None:
-        await self.fleet.close()
-
-    def _make_upstream(self, replica: Replica) -> Upstream:
-        return Upstream(
-            replica,
-            local=True,
-            name="vm1",
-            dialer=self.dialer,
-            batching=self.policies.batching,
-            limit=self.policies.limit,
-            quarantine=self.policies.quarantine,
-            observer=SilentObserver(),
-        )
+        await self.node.stop()
