Scenarios: a small language, worlds of tasks and of processes, golden sessions

Change: auburncart/scenario with parser (shlex), runner and virtual world; a world of processes beside its test, with SIGKILL, SIGSTOP and faults commanded at the stand-ins; six scenarios.

Ruled out: times in the golden files, since every change of a policy moves them; 'within' bounds are expectations of their own. A parser library, since shlex reads a line in full.

--- a/auburncart/command/main.py
+++ b/auburncart/command/main.py
@@ -23,6 +23,7 @@
 app.command("auburncart.command.entry:entry", name="entry")
 app.command("auburncart.command.request:order", name="order")
 app.command("auburncart.command.request:search", name="search")
+app.command("auburncart.command.scenario:scenario", name="scenario")
 app.command("auburncart.command.standin:app", name="standin")
 app.command("auburncart.command.table:app", name="table")
 
--- /dev/null
+++ b/auburncart/command/scenario.py
@@ -0,0 +1,39 @@
+"""``auburncart scenario``: runs a scenario on virtual time."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+import async_solipsism
+
+from auburncart.scenario import Runner, parse
+from auburncart.scenario.virtual import VirtualWorld
+
+__all__ = ["run_text", "scenario"]
+
+
+def scenario(file: Path, *, golden: bool = False) -> int:
+    """Run a scenario on virtual time and print the session; needs the ``test`` extra.
+
+    :param file: the scenario, one command a line; docs/SCENARIOS.md names all commands.
+    :param golden: print the session without times, as the golden file beside it holds it.
+    """
+    runner = run_text(file.read_text(encoding="utf-8"))
+    sys.stdout.write(runner.outcomes if golden else runner.session)
+    return 0
+
+
+def run_text(text: str) -> Runner:
+    """Run a scenario's text and return the ended run.
+
+    :raises ScenarioError: the text has faults.
+    :raises ExpectationError: an expectation does not hold.
+    """
+    with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as loop:
+        return loop.run(_run(text))
+
+
+async def _run(text: str) -> Runner:
+    runner = Runner(VirtualWorld())
+    await runner.run(parse(text))
+    return runner
--- /dev/null
+++ b/auburncart/scenario/language.py
@@ -0,0 +1,131 @@
+"""The language of scenarios: one command a line, words and ``name=value`` options.
+
+::
+
+    # a lost replica is replaced
+    site shards=4 replicas=2 vms=2
+    kill upstream shard-01/0
+    search vm1 as=first
+    expect first complete answered=4
+"""
+
+import shlex
+from typing import NamedTuple
+
+from auburncart.exception import InputError
+
+__all__ = ["Command", "ScenarioError", "Verb", "VERBS", "parse"]
+
+
+class ScenarioError(InputError):
+    """A scenario's text has faults; ``faults`` names all of them with their lines."""
+
+    def __init__(self, faults: tuple[str, ...]) -> None:
+        super().__init__("; ".join(faults), step="scenario")
+        self.faults = faults
+
+
+class Command(NamedTuple):
+    """One line of a scenario.
+
+    :param line: its number, from 1.
+    :param text: the line as written.
+    :param verb: first word.
+    :param words: further words without ``=``.
+    :param options: values by name.
+    """
+
+    line: int
+    text: str
+    verb: str
+    words: tuple[str, ...]
+    options: dict[str, str]
+
+
+class Verb(NamedTuple):
+    """What a verb takes.
+
+    :param fewest: fewest words.
+    :param most: most words.
+    :param options: names of its options.
+    """
+
+    fewest: int
+    most: int
+    options: frozenset[str]
+
+
+def _verb(fewest: int, most: int, options: str = "") -> Verb:
+    return Verb(fewest, most, frozenset(options.split()))
+
+
+VERBS = {
+    "site": _verb(0, 0, "shards replicas vms data_centres batch seed policies"),
+    "start": _verb(1, 1),
+    "stop": _verb(1, 1),
+    "kill": _verb(2, 2),
+    "restart": _verb(2, 2),
+    "freeze": _verb(1, 1),
+    "thaw": _verb(1, 1),
+    "cut": _verb(2, 2),
+    "heal": _verb(0, 0),
+    "slow": _verb(2, 2),
+    "condition": _verb(2, 2),
+    "poison": _verb(1, 1),
+    "outage": _verb(1, 1),
+    "lose": _verb(1, 1),
+    "publish": _verb(1, 1, "keep"),
+    "apply": _verb(1, 1, "by weight rank version via"),
+    "wait": _verb(1, 1),
+    "search": _verb(1, 1, "as kind customer seconds query wait"),
+    "order": _verb(1, 1, "as kind customer seconds key shard text wait"),
+    "expect": _verb(
+        1, 2, "answered asked missing ran code snapshot repeated hits key count version within"
+    ),
+}
+
+
+def parse(text: str) -> list[Command]:
+    """Return the commands of a scenario.
+
+    :raises ScenarioError: lines have faults; all of them are named.
+
+    >>> parse("search vm1 as=a")[0].options
+    {'as': 'a'}
+    """
+    commands: list[Command] = []
+    faults: list[str] = []
+    for number, line in enumerate(text.splitlines(), start=1):
+        try:
+            words = shlex.split(line, comments=True)
+        except ValueError as error:
+            faults.append(f"line {number}: {error}")
+            continue
+        if words:
+            command = _command(number, line.strip(), words)
+            faults.extend(_faults(command))
+            commands.append(command)
+    if faults:
+        raise ScenarioError(tuple(faults))
+    return commands
+
+
+def _command(number: int, line: str, words: list[str]) -> Command:
+    plain = tuple(word for word in words[1:] if "=" not in word)
+    options = dict(word.split("=", 1) for word in words[1:] if "=" in word)
+    return Command(number, line, words[0], plain, options)
+
+
+def _faults(command: Command) -> list[str]:
+    verb = VERBS.get(command.verb)
+    if verb is None:
+        return [
+            f"line {command.line}: no verb {command.verb!r}, expected one of {', '.join(VERBS)}"
+        ]
+    faults = []
+    if not verb.fewest <= len(command.words) <= verb.most:
+        expected = f"expected {verb.fewest} to {verb.most} words"
+        faults.append(f"line {command.line}: {command.verb}: {expected}")
+    for name in sorted(set(command.options) - verb.options):
+        faults.append(f"line {command.line}: {command.verb}: no option {name!r}")
+    return faults
--- /dev/null
+++ b/auburncart/scenario/pause.py
@@ -0,0 +1,91 @@
+"""A VM that can be frozen: everything that it does towards the outside waits while it is."""
+
+import asyncio
+from typing import Any, TypeVar
+
+from auburncart.coordination import Key, Store, Stored, UpstreamConnection, UpstreamDialer
+from auburncart.state import Batch, BatchReply, Member, OrderReply, Replica, UpstreamOrder
+
+__all__ = ["Freezer", "FrozenDialer", "FrozenStore"]
+
+T = TypeVar("T")
+
+
+class Freezer:
+    """Whether a VM is frozen; calls to the outside wait here before and after."""
+
+    def __init__(self) -> None:
+        self._running = asyncio.Event()
+        self._running.set()
+
+    def freeze(self) -> None:
+        """Stop the VM."""
+        self._running.clear()
+
+    def thaw(self) -> None:
+        """Let the VM go on."""
+        self._running.set()
+
+    async def through(self, call: Any) -> Any:
+        """Make a call while the VM runs, and hand back its result while the VM runs."""
+        await self._running.wait()
+        try:
+            return await call
+        finally:
+            await self._running.wait()
+
+
+class FrozenStore(Store):
+    """A store as a VM that can be frozen calls it."""
+
+    def __init__(self, store: Store, freezer: Freezer) -> None:
+        self._store = store
+        self._freezer = freezer
+
+    async def read(self, key: Key[T]) -> Stored[T] | None:
+        """Return the object, or None."""
+        return await self._freezer.through(self._store.read(key))
+
+    async def watch(self, key: Key[T], etag: str, wait: float) -> Stored[T] | None:
+        """Wait for a change."""
+        return await self._freezer.through(self._store.watch(key, etag, wait))
+
+    async def write(self, key: Key[T], value: T, etag: str) -> str:
+        """Write on condition."""
+        return await self._freezer.through(self._store.write(key, value, etag))
+
+    async def members(self) -> tuple[Member, ...]:
+        """Return the platform's list of VMs."""
+        return await self._freezer.through(self._store.members())
+
+
+class _FrozenConnection(UpstreamConnection):
+    def __init__(self, connection: UpstreamConnection, freezer: Freezer) -> None:
+        self._connection = connection
+        self._freezer = freezer
+
+    async def search(self, batch: Batch) -> BatchReply:
+        return await self._freezer.through(self._connection.search(batch))
+
+    async def order(self, order: UpstreamOrder) -> OrderReply:
+        return await self._freezer.through(self._connection.order(order))
+
+    async def close(self) -> None:
+        await self._connection.close()
+
+
+class FrozenDialer(UpstreamDialer):
+    """Connections as a VM that can be frozen opens them."""
+
+    def __init__(self, dialer: UpstreamDialer, freezer: Freezer) -> None:
+        self._dialer = dialer
+        self._freezer = freezer
+
+    async def connect(self, replica: Replica) -> UpstreamConnection:
+        """Open a connection."""
+        connection = await self._freezer.through(self._dialer.connect(replica))
+        return _FrozenConnection(connection, self._freezer)
+
+    async def cancel(self, replica: Replica, request_id: str) -> None:
+        """Tell an upstream that nobody waits."""
+        await self._freezer.through(self._dialer.cancel(replica, request_id))
