Change the table by one conditional write with its audit entry

A proposal names the version it is based on and a change_id; a conflict lists who changed what; a lost reply is recognised by the change_id in the audit entries, which are kept in the same stored value and moved to archive objects before they are dropped. CSV beside JSON.

Ruled out: an audit object of its own (either could exist without the other). Test: 12 changes of 400 rows each with every first reply lost leave 12 entries without a gap.

--- a/auburncart/command/check.py
+++ b/auburncart/command/check.py
@@ -4,8 +4,7 @@
 
 import pyjson5
 
-from auburncart.protocol.document import parse_document
-from auburncart.protocol.table_file import TableFile
+from auburncart.protocol.table_file import read_table
 from auburncart.settings import load_entry_settings
 
 __all__ = ["check"]
@@ -14,10 +13,10 @@
 def check(file: Path) -> int:
     """Check a settings file or a table and name each fault; exit code 2 if there is any.
 
-    :param file: the file; one with ``rows`` is taken for a table, any other for settings.
+    :param file: the file; one with ``rows`` or of CSV is taken for a table, any other for settings.
     """
     if _is_table(file):
-        parse_document(file.read_text(encoding="utf-8"), TableFile, str(file))
+        read_table(file)
     else:
         load_entry_settings(file)
     print(f"{file}: no faults")
@@ -25,6 +24,8 @@
 
 
 def _is_table(file: Path) -> bool:
+    if file.suffix.lower() == ".csv":
+        return True
     try:
         fields = pyjson5.loads(file.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError, pyjson5.Json5Exception):
--- a/auburncart/command/table.py
+++ b/auburncart/command/table.py
@@ -1,53 +1,141 @@
-"""``auburncart table``: the operators' table."""
+"""``auburncart table``: the operators' table.
+
+Exit codes beside the common ones: 4 another change came first and nothing was written.
+"""
 
 import asyncio
+import getpass
 import sys
+import time
+import uuid
 from pathlib import Path
+from typing import Annotated, Any
 
 import msgspec
-from cyclopts import App
+from cyclopts import App, Parameter
 
-from auburncart.coordination import TABLE
-from auburncart.protocol.table_file import read_table, table_of
-from auburncart.state import TableDocument
+from auburncart.coordination import TABLE, Author, Proposal, Store, TableEditor
+from auburncart.coordination.audit import describe, read_history
+from auburncart.daemon.entry import start_log
+from auburncart.exception import InputError, TableConflictError
+from auburncart.protocol.table_file import TableFile, format_table, read_table, table_of
+from auburncart.transport.address import own_address
 from auburncart.transport.store import HttpStore
 
 __all__ = ["app"]
 
+EXIT_CONFLICT = 4
+
 app = App(name="table", help="Show and change the table of weights and limits.")
+Platform = Annotated[str, Parameter(help="IP:port of the platform's store")]
+Token = Annotated[str, Parameter(help="credential for the platform", env_var="AUBURNCART_TOKEN")]
 
 
 @app.command
-def show(*, platform: str, token: str = "") -> int:
-    """Print the table in force as JSON.
-
-    :param platform: ``IP:port`` of the platform's store.
-    :param token: credential for the platform.
-    """
-    stored = asyncio.run(HttpStore(platform, token).read(TABLE))
+def show(*, platform: Platform, token: Token = "") -> int:
+    """Print the table that the store holds as JSON, ``null`` if there is none."""
+    stored = _run(HttpStore(platform, token), lambda store: store.read(TABLE))
     table = stored.value.table if stored else None
     sys.stdout.write(msgspec.json.encode(table).decode() + "\n")
     return 0
 
 
 @app.command
-def apply(file: Path, *, platform: str, token: str = "") -> int:
-    """Check a table and put it in force.
+def check(file: Path) -> int:
+    """Check a table and name all of its faults; exit code 2 if there is any.
 
-    :param file: the table as JSON with comments.
-    :param platform: ``IP:port`` of the platform's store.
-    :param token: credential for the platform.
+    :param file: the table as JSON with comments, or as CSV if its name ends in .csv.
     """
     written = read_table(file)
-    version = asyncio.run(_apply(HttpStore(platform, token), written))
-    sys.stdout.write(f"version {version} accepted\n")
+    sys.stdout.write(f"{file}: {len(written.rows)} rows, no faults\n")
     return 0
 
 
-async def _apply(store: HttpStore, written) -> int:  # type: ignore[no-untyped-def]
-    stored = await store.read(TABLE)
-    version = stored.value.table.version + 1 if stored else 1
-    await store.write(
-        TABLE, TableDocument(table_of(written, version)), stored.etag if stored else ""
+@app.command
+def export(*, platform: Platform, token: Token = "", form: str = "json") -> int:
+    """Print the table as a file to edit and apply again.
+
+    :param form: json or csv.
+    """
+    stored = _run(HttpStore(platform, token), lambda store: store.read(TABLE))
+    if stored is None:
+        raise InputError("the store holds no table yet", step="export")
+    sys.stdout.write(format_table(stored.value.table, form))
+    return 0
+
+
+@app.command
+def apply(
+    file: Path,
+    *,
+    platform: Platform,
+    token: Token = "",
+    based_on: int | None = None,
+    above: int = 0,
+    who: str = "",
+    change_id: str = "",
+    log_file: str = "-",
+) -> int:
+    """Check a table and put it in force by one conditional write.
+
+    A file that names no version it is based on is applied only with ``--based-on``, or where
+    the store holds no table yet. Exit code 4: another change came first.
+
+    :param file: the table as JSON with comments, or as CSV if its name ends in .csv.
+    :param based_on: version that the file was made from.
+    :param above: version that the new one must exceed, after the store was restored from a copy.
+    :param who: your name in the audit trail, your login name if not given.
+    :param change_id: repeat one whose outcome was unknown; it is applied at most once.
+    :param log_file: file for the log, - for standard error.
+    """
+    start_log(log_file)
+    written = read_table(file)
+    proposal = _proposal(written, based_on, above, change_id or uuid.uuid4().hex)
+    editor = TableEditor(
+        store := HttpStore(platform, token), Author(who or getpass.getuser(), own_address(platform))
     )
-    return version
+    try:
+        accepted = _run(store, lambda _: editor.apply(proposal, time.time()))
+    except TableConflictError as error:
+        sys.stderr.write("\n".join((str(error), *error.changes)) + "\n")
+        return EXIT_CONFLICT
+    if accepted.entry is None:
+        sys.stdout.write(f"version {accepted.version} stays in force: nothing new\n")
+    elif accepted.repeated:
+        sys.stdout.write(f"accepted before: {describe(accepted.entry)}\n")
+    else:
+        sys.stdout.write(f"accepted: {describe(accepted.entry)}\n")
+    return 0
+
+
+@app.command
+def history(*, platform: Platform, token: Token = "", limit: int = 20) -> int:
+    """Print the newest changes, newest first, one JSON object a line.
+
+    :param limit: most changes to print.
+    """
+    entries = _run(HttpStore(platform, token), lambda store: _history(store, limit))
+    for entry in entries:
+        sys.stdout.write(msgspec.json.encode(entry._asdict()).decode() + "\n")
+    return 0
+
+
+async def _history(store: Store, limit: int) -> list[Any]:
+    stored = await store.read(TABLE)
+    return await read_history(store, stored.value, limit) if stored else []
+
+
+def _proposal(written: TableFile, based_on: int | None, above: int, change_id: str) -> Proposal:
+    base = written.based_on if based_on is None else based_on
+    table = table_of(written, 0)
+    return Proposal(change_id, table.rows, table.floors, base or 0, above)
+
+
+def _run(store: HttpStore, call) -> Any:  # type: ignore[no-untyped-def]
+    async def run() -> Any:
+        try:
+            return await call(store)
+        finally:
+            store.close()
+
+    return asyncio.run(run())
--- a/auburncart/coordination/__init__.py
+++ b/auburncart/coordination/__init__.py
@@ -1,6 +1,7 @@
 """Every decision of the tier, behind abstract base classes and without codec or socket."""
 
 from auburncart.coordination.catalogue import SHARD_MAP, Catalogue
+from auburncart.coordination.change import Accepted, Author, Proposal, TableEditor
 from auburncart.coordination.fleet import Fleet
 from auburncart.coordination.interfaces import (
     Key,
@@ -19,6 +20,8 @@
 from auburncart.coordination.upstream import Upstream
 
 __all__ = [
+    "Accepted",
+    "Author",
     "Catalogue",
     "Fleet",
     "Key",
@@ -27,12 +30,14 @@
     "OrderService",
     "PeerBus",
     "Policies",
+    "Proposal",
     "SHARD_MAP",
     "SearchService",
     "SilentObserver",
     "Store",
     "Stored",
     "TABLE",
+    "TableEditor",
     "TableKeeper",
     "Upstream",
     "UpstreamConnection",
--- a/auburncart/exception.py
+++ b/auburncart/exception.py
@@ -8,6 +8,7 @@
     "SettingsError",
     "StoreConflictError",
     "StoreUnavailableError",
+    "TableConflictError",
     "UpstreamError",
 ]
 
@@ -73,3 +74,14 @@
 
 class StoreConflictError(AuburncartError):
     """A conditional write found another version than the one it named; it did not take effect."""
+
+
+class TableConflictError(AuburncartError):
+    """The table was changed since the version that a proposal is based on; nothing was written.
+
+    :param changes: one line for each change that the proposal does not know.
+    """
+
+    def __init__(self, reason: str, *, changes: tuple[str, ...] = ()) -> None:
+        super().__init__(reason, step="apply")
+        self.changes = changes
--- a/auburncart/protocol/document.py
+++ b/auburncart/protocol/document.py
@@ -8,7 +8,7 @@
 
 from auburncart.exception import SettingsError
 
-__all__ = ["parse_document", "read_document"]
+__all__ = ["faults_of", "parse_document", "parse_json", "read_document", "read_text"]
 
 T = TypeVar("T")
 
@@ -20,11 +20,30 @@
     :param form: type that the document must have, a ``NamedTuple`` or ``TypedDict``.
     :raises SettingsError: the file cannot be read, or has faults; all of them are named.
     """
+    return parse_document(read_text(path), form, str(path))
+
+
+def read_text(path: Path) -> str:
+    """Read a file of UTF-8.
+
+    :raises SettingsError: it cannot be read.
+    """
     try:
-        text = path.read_text(encoding="utf-8")
+        return path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(f"{path}: {error}", faults=(f"{path}: {error}",)) from error
-    return parse_document(text, form, str(path))
+
+
+def parse_json(text: str, source: str) -> Any:
+    """Parse JSON with comments.
+
+    :raises SettingsError: it is not JSON with comments.
+    """
+    try:
+        return pyjson5.loads(text)
+    except (pyjson5.Json5Exception, RecursionError) as error:
+        fault = f"{source}: not JSON with comments: {error}"
+        raise SettingsError(fault, faults=(fault,)) from error
 
 
 def parse_document(text: str, form: type[T], source: str) -> T:
@@ -39,17 +58,17 @@
     {'a': 1}
     """
     try:
-        fields = pyjson5.loads(text)
-    except (pyjson5.Json5Exception, RecursionError) as error:
-        fault = f"{source}: not JSON with comments: {error}"
-        raise SettingsError(fault, faults=(fault,)) from error
-    try:
-        return TypeAdapter(form).validate_python(fields)
+        return TypeAdapter(form).validate_python(parse_json(text, source))
     except ValidationError as error:
-        faults = tuple(_fault(source, dict(entry)) for entry in error.errors(include_url=False))
+        faults = faults_of(error, source)
         raise SettingsError("; ".join(faults), faults=faults) from error
 
 
+def faults_of(error: ValidationError, source: str) -> tuple[str, ...]:
+    """Return one line for each fault, with its place, the value found and the form expected."""
+    return tuple(_fault(source, dict(entry)) for entry in error.errors(include_url=False))
+
+
 def _fault(source: str, entry: dict[str, Any]) -> str:
     path = ".".join(str(part) for part in entry["loc"]) or "document"
     found = repr(entry["input"])
--- a/auburncart/protocol/platform.py
+++ b/auburncart/protocol/platform.py
@@ -12,7 +12,16 @@
 
 from auburncart.coordination.interfaces import Key
 from auburncart.exception import ProtocolError
-from auburncart.state import Claim, Condition, Member, Replica, Shard, ShardMap, TableDocument
+from auburncart.state import (
+    AuditArchive,
+    Claim,
+    Condition,
+    Member,
+    Replica,
+    Shard,
+    ShardMap,
+    TableDocument,
+)
 
 __all__ = [
     "MAX_VALUE_BYTES",
@@ -112,6 +121,10 @@
     return msgspec.convert(fields, type=TableDocument)
 
 
+def _decode_archive(fields: Any) -> AuditArchive:
+    return msgspec.convert(fields, type=AuditArchive)
+
+
 def _decode_claim(fields: Any) -> Claim:
     return msgspec.convert(fields, type=Claim)
 
@@ -124,4 +137,5 @@
     "table": _Codec(_plain, _decode_table),
     "shards": _Codec(_encode_map, _decode_map),
     "claims": _Codec(_plain, _decode_claim),
+    "audit": _Codec(_plain, _decode_archive),
 }
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -15,7 +15,15 @@
     coverage_of,
 )
 from auburncart.state.shards import Replica, Shard, ShardMap
-from auburncart.state.table import AuditEntry, Row, Table, TableDocument, find_row
+from auburncart.state.table import (
+    AuditArchive,
+    AuditEntry,
+    Floors,
+    Row,
+    Table,
+    TableDocument,
+    find_row,
+)
 from auburncart.state.upstream import (
     Batch,
     BatchReply,
@@ -26,6 +34,7 @@
 from auburncart.state.work import Rank, Work
 
 __all__ = [
+    "AuditArchive",
     "AuditEntry",
     "Batch",
     "BatchReply",
@@ -36,6 +45,7 @@
     "FACTS",
     "Failure",
     "FailureCode",
+    "Floors",
     "Hit",
     "Member",
     "MissingShard",
--- a/auburncart/state/table.py
+++ b/auburncart/state/table.py
@@ -4,9 +4,10 @@
 
 from auburncart.state.work import Rank
 
-__all__ = ["AuditEntry", "Row", "Table", "TableDocument", "find_row"]
+__all__ = ["AuditArchive", "AuditEntry", "Floors", "Row", "Table", "TableDocument", "find_row"]
 
 ANY_CUSTOMER = "*"
+Floors = tuple[float, float, float]
 
 
 class Row(NamedTuple):
@@ -40,7 +41,7 @@
 
     version: int
     rows: tuple[Row, ...]
-    floors: tuple[float, float, float] = (0.0, 0.1, 0.05)
+    floors: Floors = (0.0, 0.1, 0.05)
 
 
 class AuditEntry(NamedTuple):
@@ -53,6 +54,9 @@
     :param address: address from which the change was made.
     :param before: rows changed or removed, as they were.
     :param after: rows changed or added, as they are.
+    :param follows: version of the table that was changed, 0 for the first.
+    :param floors_before: floors as they were, None if they did not change.
+    :param floors_after: floors as they are, None if they did not change.
     """
 
     version: int
@@ -62,6 +66,20 @@
     address: str
     before: tuple[Row, ...]
     after: tuple[Row, ...]
+    follows: int = 0
+    floors_before: Floors | None = None
+    floors_after: Floors | None = None
+
+
+class AuditArchive(NamedTuple):
+    """Audit entries moved out of the table's stored value.
+
+    :param number: number of this archive, from 1 without a gap.
+    :param entries: entries, oldest first, that follow those of the archive before it.
+    """
+
+    number: int
+    entries: tuple[AuditEntry, ...]
 
 
 class TableDocument(NamedTuple):
--- /dev/null
+++ b/auburncart/transport/address.py
@@ -0,0 +1,20 @@
+"""Addresses of this machine."""
+
+import socket
+
+__all__ = ["own_address"]
+
+
+def own_address(towards: str) -> str:
+    """Return the IP number from which this machine reaches ``"IP:port"``; sends nothing.
+
+    >>> own_address("127.0.0.1:9")
+    '127.0.0.1'
+    """
+    host, port = towards.rsplit(":", 1)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        try:
+            probe.connect((host, int(port)))
+        except OSError:
+            return ""
+        return str(probe.getsockname()[0])
