--- a/auburncart/protocol/platform.py
+++ b/auburncart/protocol/platform.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, NotRequired, TypedDict
 
 import msgspec
 
@@ -36,6 +36,23 @@
 PATH_MEMBERS = "/v1/vms"
 
 
+class _MapBody(TypedDict):
+    """A shard map as stored: each shard's replicas as arrays."""
+
+    snapshot: str
+    version: int
+    shards: dict[str, list[Replica]]
+
+
+class _VmBody(TypedDict):
+    """An entry of the platform's list of VMs."""
+
+    address: str
+    data_centre: str
+    incarnation: NotRequired[int]
+    condition: NotRequired[Condition]
+
+
 class _Codec(NamedTuple):
     """Encoding of one kind of stored object."""
 
@@ -80,18 +97,18 @@
     :raises ProtocolError: the body does not have the form of such a list.
     """
     try:
-        entries = msgspec.json.decode(body, type=list[dict[str, Any]])
-        return tuple(_member(entry) for entry in entries)
-    except (msgspec.MsgspecError, KeyError, ValueError) as error:
+        entries = msgspec.json.decode(body, type=list[_VmBody])
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise ProtocolError(f"list of VMs: {error}", step="store") from error
+    return tuple(_member(entry) for entry in entries)
 
 
-def _member(entry: dict[str, Any]) -> Member:
+def _member(entry: _VmBody) -> Member:
     return Member(
         entry["address"],
         entry["data_centre"],
-        int(entry.get("incarnation", 0)),
-        Condition(entry.get("condition", "live")),
+        entry.get("incarnation", 0),
+        entry.get("condition", Condition.LIVE),
     )
 
 
@@ -103,18 +120,14 @@
     return {"snapshot": shard_map.snapshot, "version": shard_map.version, "shards": shards}
 
 
-def _decode_map(fields: dict[str, Any]) -> ShardMap:
+def _decode_map(fields: Any) -> ShardMap:
+    body = msgspec.convert(fields, type=_MapBody)
     known: dict[str, Replica] = {}
     shards = {
-        name: Shard(name, tuple(_replica(entry, known) for entry in entries))
-        for name, entries in fields["shards"].items()
+        name: Shard(name, tuple(known.setdefault(held.address, held) for held in replicas))
+        for name, replicas in body["shards"].items()
     }
-    return ShardMap(str(fields["snapshot"]), int(fields["version"]), shards)
-
-
-def _replica(entry: list[Any], known: dict[str, Replica]) -> Replica:
-    replica = msgspec.convert(entry, type=Replica)
-    return known.setdefault(replica.address, replica)
+    return ShardMap(body["snapshot"], body["version"], shards)
 
 
 def _decode_table(fields: Any) -> TableDocument:
--- a/auburncart/scenario/tests/real.py
+++ b/auburncart/scenario/tests/real.py
@@ -16,7 +16,8 @@
 from urllib3.exceptions import HTTPError
 
 from auburncart.exception import AuburncartError
-from auburncart.scenario.language import Command
+from auburncart.scenario.language import Command, parse
+from auburncart.scenario.runner import Runner
 from auburncart.scenario.world import Outcome, World
 
 START_SECONDS = 30.0
@@ -247,3 +248,14 @@
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+async def run_on_processes(text: str) -> Runner:
+    """Run a scenario's text on separate processes and return the ended run."""
+    runner = Runner(RealWorld())
+    await runner.run(parse(text))
+    return runner
+
+
+if __name__ == "__main__":
+    sys.stdout.write(asyncio.run(run_on_processes(Path(sys.argv[1]).read_text())).session)
--- a/auburncart/scenario/tests/test_scenarios.py
+++ b/auburncart/scenario/tests/test_scenarios.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 
 from auburncart.command.scenario import run_text
-from auburncart.scenario import ExpectationError, Runner, ScenarioError, parse
-from auburncart.scenario.tests.real import RealWorld
+from auburncart.scenario import ExpectationError, ScenarioError, parse
+from auburncart.scenario.tests.real import run_on_processes
 
 SCENARIOS = Path(__file__).parent / "scenarios"
 
@@ -35,11 +35,5 @@
 class ProcessTest(unittest.TestCase):
     def test_kills_freezes_and_lost_replies_on_separate_processes(self) -> None:
         file = SCENARIOS / "processes.scenario"
-        found = asyncio.run(run_on_processes(file.read_text()))
+        found = asyncio.run(run_on_processes(file.read_text())).outcomes
         self.assertEqual(found, file.with_suffix(".golden").read_text())
-
-
-async def run_on_processes(text: str) -> str:
-    runner = Runner(RealWorld())
-    await runner.run(parse(text))
-    return runner.outcomes
