--- a/auburncart/command/demo.py
+++ b/auburncart/command/demo.py
@@ -7,6 +7,7 @@
 
 from auburncart.command.request import post
 from auburncart.daemon import Entry
+from auburncart.exception import AuburncartError
 from auburncart.settings import EntrySettings
 from auburncart.standins.platform import PlatformModel
 from auburncart.standins.server import PlatformApplication, StandinServer, UpstreamApplication
@@ -24,8 +25,8 @@
 PLATFORM_THREADS = 16
 CONTROL_THREADS = 2
 READY_SECONDS = 10.0
-POLL_SECONDS = 0.05
 DEADLINE_MS = 3000
+OK = 200
 
 
 def demo(*, once: bool = False) -> int:
@@ -66,6 +67,8 @@
     await publish(platform, make_shard_map(shapes, ["dc1"] * UPSTREAMS, BATCH_LIMIT), DEMO_TABLE)
     entry = Entry(_settings(platform_server.address))
     await entry.start()
+    async with asyncio.timeout(READY_SECONDS):
+        await entry.wait_until_ready()
     try:
         yield entry.addresses[0]
     finally:
@@ -108,11 +111,7 @@
         "query": "net",
         "deadline_ms": DEADLINE_MS,
     }
-    async with asyncio.timeout(READY_SECONDS):
-        while True:
-            status, text = await asyncio.to_thread(
-                post, address, "/v1/search", body, DEADLINE_MS / 1000.0
-            )
-            if status != 503:
-                return text
-            await asyncio.sleep(POLL_SECONDS)
+    status, text = await asyncio.to_thread(post, address, "/v1/search", body, DEADLINE_MS / 1000.0)
+    if status != OK:
+        raise AuburncartError(text, step="search", peer=address)
+    return text
--- a/auburncart/command/request.py
+++ b/auburncart/command/request.py
@@ -1,13 +1,14 @@
 """``auburncart search`` and ``auburncart order``: send one request and print the answer."""
 
 import sys
+import uuid
 
 import urllib3
 from urllib3.exceptions import HTTPError
 
 from auburncart.exception import AuburncartError
 
-__all__ = ["order", "post", "search"]
+__all__ = ["new_key", "order", "post", "search"]
 
 SLACK_SECONDS = 5.0
 EXIT_NOT_ANSWERED = 1
@@ -51,7 +52,7 @@
     customer: str,
     kind: str,
     shard: str,
-    key: str,
+    key: str = "",
     deadline_ms: int = 5000,
 ) -> int:
     """Send an order, which takes effect at most once, and print what became of it as JSON.
@@ -61,14 +62,15 @@
     :param customer: customer on whose account it runs.
     :param kind: kind of work.
     :param shard: shard that carries it out.
-    :param key: idempotency key; repeat the same order only with the same key.
+    :param key: idempotency key; a new one is made and printed where none is given. Repeat the
+        same order only with the same key.
     :param deadline_ms: milliseconds to wait for the outcome.
     """
     body: dict[str, object] = {
         "customer": customer,
         "kind": kind,
         "shard": shard,
-        "key": key,
+        "key": key or new_key(),
         "order": text,
         "deadline_ms": deadline_ms,
     }
@@ -77,6 +79,11 @@
     return 0 if status == 200 and '"ran":"yes"' in reply else EXIT_NOT_ANSWERED
 
 
+def new_key() -> str:
+    """Return a new idempotency key."""
+    return uuid.uuid4().hex
+
+
 def post(address: str, path: str, body: dict[str, object], seconds: float) -> tuple[int, str]:
     """Post JSON once and return the status and text of the reply.
 
--- a/auburncart/coordination/catalogue.py
+++ b/auburncart/coordination/catalogue.py
@@ -18,12 +18,17 @@
 
     def __init__(self) -> None:
         self._current: ShardMap | None = None
+        self._arrived = asyncio.Event()
 
     @property
     def current(self) -> ShardMap | None:
         """The newest shard map, None before the first."""
         return self._current
 
+    async def wait(self) -> None:
+        """Wait until one is in force."""
+        await self._arrived.wait()
+
     def install(self, shard_map: ShardMap) -> bool:
         """Put a shard map in force if it is newer than the one in force.
 
@@ -32,6 +37,7 @@
         if self._current is not None and shard_map.version <= self._current.version:
             return False
         self._current = shard_map
+        self._arrived.set()
         return True
 
     async def follow(self, store: Store) -> None:
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -63,6 +63,11 @@
         """Data centre in which the VM runs."""
         return self._data_centre
 
+    @property
+    def ready(self) -> bool:
+        """Whether a table and a shard map are in force, without which nothing is answered."""
+        return self._tables.table is not None and self._catalogue.current is not None
+
     @property
     def tables(self) -> TableKeeper:
         """The table in force."""
@@ -88,6 +93,11 @@
         """The service that carries out orders."""
         return self._orders
 
+    async def wait_until_ready(self) -> None:
+        """Wait for the first table and the first shard map."""
+        await self._tables.wait()
+        await self._catalogue.wait()
+
     def start(self) -> None:
         """Begin to follow the store, each object in a task of its own."""
         self._tasks.append(asyncio.create_task(self._tables.follow(self._store), name="table"))
--- a/auburncart/coordination/table.py
+++ b/auburncart/coordination/table.py
@@ -18,12 +18,17 @@
 
     def __init__(self) -> None:
         self._document: TableDocument | None = None
+        self._arrived = asyncio.Event()
 
     @property
     def table(self) -> Table | None:
         """The table in force, None before the first."""
         return self._document.table if self._document else None
 
+    async def wait(self) -> None:
+        """Wait until one is in force."""
+        await self._arrived.wait()
+
     def install(self, document: TableDocument) -> bool:
         """Put a table in force if it is newer than the one in force.
 
@@ -32,6 +37,7 @@
         if self._document is not None and document.table.version <= self._document.table.version:
             return False
         self._document = document
+        self._arrived.set()
         return True
 
     async def follow(self, store: Store) -> None:
--- a/auburncart/daemon/entry.py
+++ b/auburncart/daemon/entry.py
@@ -45,6 +45,15 @@
         """Addresses that callers reach: the general one, then the urgent one."""
         return tuple(server.address for server in self._servers)
 
+    @property
+    def ready(self) -> bool:
+        """Whether callers can be answered."""
+        return self._node.ready
+
+    async def wait_until_ready(self) -> None:
+        """Wait until callers can be answered."""
+        await self._node.wait_until_ready()
+
     async def start(self) -> None:
         """Follow the store and serve callers."""
         self._node.start()
