--- a/auburncart/standins/server.py
+++ b/auburncart/standins/server.py
@@ -25,6 +25,7 @@
 
 CRASH_EXIT_CODE = 70
 SHUTDOWN_SECONDS = 1
+BACKLOG = 512
 
 
 class StandinServer:
@@ -44,6 +45,7 @@
             numthreads=threads,
             max=threads,
             shutdown_timeout=SHUTDOWN_SECONDS,
+            request_queue_size=BACKLOG,
         )
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
 
--- a/auburncart/transport/http.py
+++ b/auburncart/transport/http.py
@@ -44,7 +44,7 @@
         :raises LinkError: the server could not be reached.
         """
         try:
-            await self._worker.run(self._http.connect)
+            await self._worker.run(self.connect_here)
         except (HTTPError, OSError) as error:
             self.close()
             reason = f"{type(error).__name__}: {error}"
@@ -62,7 +62,7 @@
         :raises LinkError: no whole reply arrived.
         """
         try:
-            return await self._worker.run(self._call, method, path, body, headers, seconds)
+            return await self._worker.run(self.request_here, method, path, body, headers, seconds)
         except (HTTPError, OSError, ValueError) as error:
             self.close()
             reason = f"{type(error).__name__}: {error}"
@@ -71,19 +71,14 @@
             self.close()
             raise
 
-    def close(self) -> None:
-        """Shut the socket down, which also ends a call at work, and let the thread end."""
-        sock = self._http.sock
-        if sock is not None:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-            with contextlib.suppress(OSError):
-                sock.close()
-        self._worker.stop()
+    def connect_here(self) -> None:
+        """Open the connection on the calling thread, which blocks."""
+        self._http.connect()
 
-    def _call(
+    def request_here(
         self, method: str, path: str, body: bytes | None, headers: dict[str, str], seconds: float
     ) -> HttpReply:
+        """Send one request on the calling thread, which blocks until the reply is there."""
         self._http.timeout = seconds
         if self._http.sock is not None:
             self._http.sock.settimeout(seconds)
@@ -94,3 +89,13 @@
             raise HTTPError(f"reply longer than {self._most_bytes} bytes")
         response.read()
         return HttpReply(response.status, response.headers, data)
+
+    def close(self) -> None:
+        """Shut the socket down, which also ends a call at work, and let the thread end."""
+        sock = self._http.sock
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            with contextlib.suppress(OSError):
+                sock.close()
+        self._worker.stop()
--- /dev/null
+++ b/auburncart/transport/tests/test_worker.py
@@ -0,0 +1,63 @@
+"""The thread of one connection: results, errors and an abandoned call."""
+
+import asyncio
+import threading
+import unittest
+
+from auburncart.transport.worker import Worker
+
+LONG_SECONDS = 20.0
+
+
+class WorkerTest(unittest.TestCase):
+    def test_results_and_errors_come_back_in_turn(self) -> None:
+        async def run() -> list[object]:
+            worker = Worker("w")
+            results = await asyncio.gather(
+                worker.run(lambda: threading.current_thread().name),
+                worker.run(int, "x"),
+                worker.run(int, "7"),
+                return_exceptions=True,
+            )
+            worker.stop()
+            return results
+
+        name, error, seven = asyncio.run(run())
+        self.assertEqual((name, seven), ("w", 7))
+        self.assertIsInstance(error, ValueError)
+
+    def test_call_given_up_by_its_task_leaves_the_thread_usable(self) -> None:
+        release = threading.Event()
+
+        async def run() -> int:
+            worker = Worker("w")
+            held = asyncio.create_task(worker.run(release.wait, LONG_SECONDS))
+            await asyncio.sleep(0)
+            held.cancel()
+            release.set()
+            result = await worker.run(int, "7")
+            worker.stop()
+            return result
+
+        self.assertEqual(asyncio.run(run()), 7)
+
+    def test_loop_that_has_ended_does_not_break_the_thread(self) -> None:
+        release, ended = threading.Event(), threading.Event()
+        worker = Worker("w")
+
+        def held() -> None:
+            release.wait(LONG_SECONDS)
+
+        async def leave() -> None:
+            asyncio.create_task(worker.run(held))
+            await asyncio.sleep(0)
+
+        asyncio.run(leave())
+        release.set()
+
+        async def again() -> None:
+            await worker.run(ended.set)
+
+        asyncio.run(again())
+        self.assertTrue(ended.is_set())
+        worker.stop()
