Admission by rank, floor, weight and deadline; replica choice by load seen

Round robin over an even number of shards sent every search to the same replica of each shard.

Now each rank has a fair queue and a gate that counts only its own and more urgent work; floors are owed as credit; the limit on sub-queries at work starts from this VM's share of all slots and follows the median time of a search's sub-queries. Ruled out on the way: a limit that grows by a share of itself (one VM of three took 47 and left 4 to the others), growth before connections are open (the idle time was then learnt from the flood).

--- a/auburncart/coordination/admission.py
+++ b/auburncart/coordination/admission.py
@@ -18,6 +18,9 @@
     def release(self) -> None:
         """Give the place to the next request."""
 
+    def progress(self, remaining: int) -> None:  # noqa: B027
+        """Take in how many sub-queries of the search are still open; by default nothing is done."""
+
 
 class Admission(ABC):
     """Lets requests in by rank, weight and limit."""
--- a/auburncart/coordination/catalogue.py
+++ b/auburncart/coordination/catalogue.py
@@ -18,12 +18,18 @@
 
     def __init__(self) -> None:
         self._current: ShardMap | None = None
+        self._slots = 0
 
     @property
     def current(self) -> ShardMap | None:
         """The newest shard map, None before the first."""
         return self._current
 
+    @property
+    def slots(self) -> int:
+        """Number of slots of all replicas in force, 0 before the first shard map."""
+        return self._slots
+
     def install(self, shard_map: ShardMap) -> bool:
         """Put a shard map in force if it is newer than the one in force.
 
@@ -32,6 +38,12 @@
         if self._current is not None and shard_map.version <= self._current.version:
             return False
         self._current = shard_map
+        replicas = {
+            replica.address: replica.slots
+            for shard in shard_map.shards.values()
+            for replica in shard.replicas
+        }
+        self._slots = sum(replicas.values())
         return True
 
     async def follow(self, store: Store) -> None:
--- a/auburncart/coordination/choice.py
+++ b/auburncart/coordination/choice.py
@@ -1,5 +1,6 @@
 """Which replica a sub-query goes to."""
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
@@ -12,11 +13,14 @@
     """Chooses one of the upstreams that hold a shard."""
 
     @abstractmethod
-    def choose(self, candidates: Sequence[Upstream], now: float) -> Upstream | None:
+    def choose(
+        self, candidates: Sequence[Upstream], now: float, deadline: float = math.inf
+    ) -> Upstream | None:
         """Return an upstream, or None if none of them should get work.
 
         :param candidates: upstreams of the shard that were not tried yet for this sub-query.
         :param now: loop time in seconds.
+        :param deadline: loop time in seconds at which the answer loses its use.
         """
 
 
@@ -26,7 +30,9 @@
     def __init__(self) -> None:
         self._turn = 0
 
-    def choose(self, candidates: Sequence[Upstream], now: float) -> Upstream | None:
+    def choose(
+        self, candidates: Sequence[Upstream], now: float, deadline: float = math.inf
+    ) -> Upstream | None:
         """Return the next candidate in turn."""
         if not candidates:
             return None
--- a/auburncart/coordination/gather.py
+++ b/auburncart/coordination/gather.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 
 from auburncart.coordination.fleet import Fleet
 from auburncart.coordination.job import Job, JobResult
@@ -26,6 +27,10 @@
 _sub_numbers = itertools.count(1)
 
 
+def _ignore_progress(remaining: int) -> None:
+    """Do nothing."""
+
+
 class _Ask:
     """What is known of one shard of the search."""
 
@@ -44,6 +49,7 @@
     :param shard_map: the pinned snapshot with its shards.
     :param names: names of the shards asked.
     :param rank: rank of the search.
+    :param progress: told how many shards are still open whenever some have ended.
     """
 
     def __init__(
@@ -54,8 +60,10 @@
         rank: Rank,
         fleet: Fleet,
         policies: Policies,
+        progress: Callable[[int], None] = _ignore_progress,
     ) -> None:
         self._request = request
+        self._progress = progress
         self._map = shard_map
         self._names = names
         self._rank = rank
@@ -96,6 +104,7 @@
             results = await self._mailbox.take(self._next_time())
             for result in results:
                 self._settle(result)
+            self._progress(len(self._open))
             self._hedge_due(loop.time())
 
     def _next_time(self) -> float:
--- /dev/null
+++ b/auburncart/coordination/lane.py
@@ -0,0 +1,133 @@
+"""The waiting requests of one rank, and the gate through which they start."""
+
+import asyncio
+import math
+
+from auburncart.coordination.capacity import Capacity
+from auburncart.coordination.fair import FairQueue
+from auburncart.state import Row, Work
+
+__all__ = ["Gate", "Lane", "Waiter"]
+
+RATE_WEIGHT = 0.2  # share of a new measurement in the moving average
+BURST_SECONDS = 0.05  # a queue that does not empty for longer is no burst
+STANDING_WAIT_TIMES = 1.0  # sub-query times that an urgent request waits in a standing queue
+
+
+class Waiter:
+    """A request that waits for its turn, which is True, or False for a refusal.
+
+    :param latest: loop time in seconds after which starting it makes no sense.
+    """
+
+    __slots__ = ("granted", "latest", "queued", "queued_at", "row", "turn", "work")
+
+    def __init__(self, work: Work, row: Row, latest: float) -> None:
+        self.work = work
+        self.row = row
+        self.latest = latest
+        self.granted = False
+        self.queued = True
+        self.queued_at = 0.0
+        self.turn: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+
+
+class Gate:
+    """Counts the sub-queries at work of one rank and of the more urgent ones.
+
+    Where one search is larger than the limit, the gate spaces the starts so that the average
+    in use keeps to the limit.
+    """
+
+    def __init__(self, capacity: Capacity) -> None:
+        self._capacity = capacity
+        self.in_use = 0.0
+        self.not_before = 0.0
+
+    def open(self, now: float) -> bool:
+        """Return whether a search may start now."""
+        return self.in_use < self._capacity.limit and now >= self.not_before
+
+    def enter(self, cost: float, now: float) -> None:
+        """Count a search that starts."""
+        self.in_use += cost
+        excess = max(0.0, cost / self._capacity.limit - 1.0)
+        self.not_before = max(self.not_before, now + excess * self._capacity.seconds)
+
+
+class Lane:
+    """One rank: its queue, its gate, and the floor that it is owed.
+
+    :param capacity: limit on the sub-queries at work.
+    :param prompt: whether a late answer is worth less than an early refusal.
+    """
+
+    def __init__(self, capacity: Capacity, prompt: bool) -> None:
+        self._capacity = capacity
+        self._prompt = prompt
+        self._pace = 0.0
+        self._last_grant = 0.0
+        self._standing: dict[str, float] = {}
+        self.gate = Gate(capacity)
+        self.queue: FairQueue[Waiter] = FairQueue()
+        self.credit = 0.0
+
+    def push(self, waiter: Waiter, now: float) -> None:
+        """Add a request that waits."""
+        if not self.queue:
+            self._last_grant = now
+            self.credit = 0.0
+        work, row = waiter.work, waiter.row
+        waiter.queued_at = now
+        self._standing.setdefault(work.customer, now)
+        self.queue.push(work.customer, work.kind, work.cost, row.weight, waiter)
+
+    def granted(self, waiter: Waiter, now: float) -> None:
+        """Take in that a request left the queue to start."""
+        seconds = (now - self._last_grant) / waiter.work.cost
+        self._pace += (RATE_WEIGHT if self._pace else 1.0) * (seconds - self._pace)
+        self._last_grant = now
+        self.left(waiter)
+
+    def left(self, waiter: Waiter) -> None:
+        """Take in that a request left the queue."""
+        if not self.queue.cost(waiter.work.customer):
+            self._standing.pop(waiter.work.customer, None)
+
+    def earn(self, amount: float) -> None:
+        """Add to what the rank is owed while it waits."""
+        if self.queue:
+            self.credit += amount
+
+    def wait(self, work: Work, row: Row, now: float) -> float:
+        """Estimate the seconds that a new request would wait, from the pace of the last ones."""
+        if not self.queue and self.gate.open(now):
+            return 0.0
+        cost = self.queue.cost(work.customer) + work.cost
+        share = self.queue.share(work.customer, row.weight)
+        return max(0.0, self.gate.not_before - now) + cost * self._present_pace(now) / share
+
+    def longest_wait(self, customer: str, now: float) -> float:
+        """Return the seconds that a request may wait for other reasons than its deadline.
+
+        A queue of urgent requests that does not empty only makes each of them late.
+        """
+        since = self._standing.get(customer, now)
+        if not self._prompt or now - since < BURST_SECONDS:
+            return math.inf
+        return STANDING_WAIT_TIMES * self._capacity.seconds
+
+    def overdue(self, now: float) -> Waiter | None:
+        """Return the next request if it waited too long to start."""
+        waiter = self.queue.peek(lambda waiter: True)
+        if waiter is None:
+            return None
+        longest = self.longest_wait(waiter.work.customer, now)
+        return waiter if now > min(waiter.latest, waiter.queued_at + longest) else None
+
+    def _present_pace(self, now: float) -> float:
+        expected = self._capacity.seconds / self._capacity.limit
+        first = self.queue.peek(lambda waiter: True)
+        if first is None:
+            return expected
+        return max(self._pace, expected, (now - self._last_grant) / first.work.cost)
--- /dev/null
+++ b/auburncart/coordination/loaded.py
@@ -0,0 +1,115 @@
+"""Choice of a replica by what this VM sees of each: work outstanding, latency, failures."""
+
+import math
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from auburncart.coordination.choice import ReplicaChoice
+from auburncart.coordination.upstream import Upstream
+from auburncart.state import UpstreamCondition
+
+__all__ = ["LeastLoadedChoice", "LeastOutstandingChoice", "TwoRandomChoice"]
+
+UNANSWERING_FAILURES = 3  # failures in a row after which an upstream is not expected to answer
+FORGET_SECONDS = 5.0  # time constant by which an old latency loses its meaning
+RAMP_SECONDS = 10.0  # time after a cold start until an upstream gets its full part
+COLD_FACTOR = 8.0  # by which work counts more on a cold upstream
+TYPICAL_SECONDS = 0.01  # latency taken for an upstream that was never measured among such
+
+CONDITION_FACTORS = {
+    UpstreamCondition.READY: 1.0,
+    UpstreamCondition.COLD: COLD_FACTOR,
+    UpstreamCondition.DRAINING: math.inf,
+    UpstreamCondition.SHEDDING: 4.0,
+}
+
+
+class _Seen(NamedTuple):
+    """What was last seen of an upstream, in loop time and seconds."""
+
+    latency: float
+    measured_at: float
+    warm_at: float
+
+
+class LeastOutstandingChoice(ReplicaChoice):
+    """Takes the local candidate with the least work outstanding.
+
+    Another data centre's upstream is taken only if no local one can be expected to answer.
+
+    :param seed: seed of the draw between equals.
+    """
+
+    def __init__(self, seed: int = 0) -> None:
+        self._random = random.Random(seed)
+
+    def choose(
+        self, candidates: Sequence[Upstream], now: float, deadline: float = math.inf
+    ) -> Upstream | None:
+        """Return the candidate with the lowest load of the best class that has one."""
+        in_time = [one for one in candidates if one.local or now + one.latency < deadline]
+        if not in_time:
+            return None
+        best = min(self._class(one) for one in in_time)
+        return self._of_class([one for one in in_time if self._class(one) == best], now)
+
+    def load(self, upstream: Upstream, typical: float, now: float) -> float:
+        """Return a number that is lower for an upstream that should rather get work.
+
+        :param typical: latency in seconds of a typical candidate.
+        """
+        return upstream.outstanding
+
+    def _of_class(self, candidates: list[Upstream], now: float) -> Upstream:
+        measured = [one.latency for one in candidates if one.latency > 0]
+        typical = sum(measured) / len(measured) if measured else TYPICAL_SECONDS
+        loads = [(self.load(one, typical, now), self._random.random(), one) for one in candidates]
+        return min(loads, key=lambda entry: entry[:2])[2]
+
+    def _class(self, upstream: Upstream) -> tuple[bool, bool, bool]:
+        leaving = upstream.condition is UpstreamCondition.DRAINING
+        unanswering = upstream.failures >= UNANSWERING_FAILURES
+        return leaving or unanswering, not upstream.local, upstream.failures > 0
+
+
+class TwoRandomChoice(LeastOutstandingChoice):
+    """Draws two candidates and takes the one with less work outstanding."""
+
+    def _of_class(self, candidates: list[Upstream], now: float) -> Upstream:
+        drawn = self._random.sample(candidates, min(2, len(candidates)))
+        return super()._of_class(drawn, now)
+
+
+class LeastLoadedChoice(LeastOutstandingChoice):
+    """Takes the local candidate on which one more sub-query is expected to end first.
+
+    The load is work outstanding times recent latency. A latency that was not measured again
+    loses its meaning with time, so that an upstream that was slow once gets tried again. An
+    upstream that reports a cold start counts as slower, less and less so while it warms up.
+    """
+
+    def __init__(self, seed: int = 0) -> None:
+        super().__init__(seed)
+        self._seen: dict[str, _Seen] = {}
+
+    def load(self, upstream: Upstream, typical: float, now: float) -> float:
+        """Return the expected time of one more sub-query in seconds."""
+        seen = self._look(upstream, now)
+        age = math.exp((seen.measured_at - now) / FORGET_SECONDS)
+        latency = age * seen.latency + (1.0 - age) * typical if seen.latency else typical
+        factor = CONDITION_FACTORS[upstream.condition] * self._ramp(seen, now)
+        return (upstream.outstanding + 1) * latency * factor
+
+    def _look(self, upstream: Upstream, now: float) -> _Seen:
+        seen = self._seen.get(upstream.address) or _Seen(0.0, now, -math.inf)
+        if upstream.latency != seen.latency:
+            seen = seen._replace(latency=upstream.latency, measured_at=now)
+        if upstream.condition is UpstreamCondition.COLD:
+            seen = seen._replace(warm_at=now)
+        self._seen[upstream.address] = seen
+        return seen
+
+    def _ramp(self, seen: _Seen, now: float) -> float:
+        left = max(0.0, 1.0 - (now - seen.warm_at) / RAMP_SECONDS)
+        return 1.0 + left * (COLD_FACTOR - 1.0)
--- a/auburncart/coordination/policies.py
+++ b/auburncart/coordination/policies.py
@@ -1,16 +1,22 @@
 """The set of policies that one VM runs with."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from auburncart.coordination.admission import Admission, FirstComeAdmission
-from auburncart.coordination.batching import Batching, OnePerRequest
+from auburncart.coordination.batching import Batching, OnePerRequest, UpToLimit
+from auburncart.coordination.capacity import AdaptiveCapacity
+from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.choice import ReplicaChoice, RoundRobinChoice
 from auburncart.coordination.hedge import Hedging, NoHedging
 from auburncart.coordination.limits import ConnectionLimit, FixedLimit
+from auburncart.coordination.loaded import LeastLoadedChoice
 from auburncart.coordination.quarantine import NoQuarantine, Quarantine
+from auburncart.coordination.ranked import RankedAdmission
 from auburncart.coordination.retry import Retrying, RetryThrice
+from auburncart.coordination.table import TableKeeper
 
-__all__ = ["Policies", "baseline_policies"]
+__all__ = ["Policies", "baseline_policies", "default_policies"]
 
 
 class Policies(NamedTuple):
@@ -40,3 +46,29 @@
         quarantine=NoQuarantine(),
         retrying=RetryThrice(),
     )
+
+
+def default_policies(
+    tables: TableKeeper, catalogue: Catalogue, vms: int, sharing: Callable[[], int], seed: int = 0
+) -> Policies:
+    """Return the policies that the daemon runs with.
+
+    :param tables: the table in force.
+    :param catalogue: the shard map in force.
+    :param vms: number of VMs that may connect to one upstream.
+    :param sharing: returns the number of VMs that share a limit of a data centre.
+    :param seed: seed of random draws.
+    """
+
+    def slots_share() -> float:
+        return catalogue.slots / sharing()
+
+    return Policies(
+        admission=RankedAdmission(tables, AdaptiveCapacity(slots_share), sharing),
+        batching=UpToLimit(),
+        choice=LeastLoadedChoice(seed),
+        hedging=NoHedging(),
+        limit=FixedLimit(vms),
+        quarantine=NoQuarantine(),
+        retrying=RetryThrice(),
+    )
--- a/auburncart/coordination/search.py
+++ b/auburncart/coordination/search.py
@@ -5,6 +5,7 @@
 from eliot import start_action
 from expression import Error, Ok, Result
 
+from auburncart.coordination.admission import Ticket
 from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.fleet import Fleet
 from auburncart.coordination.gather import Gather
@@ -95,11 +96,13 @@
         if admitted.is_error():
             return Error(admitted.error)
         try:
-            return await self._pinned(request, row)
+            return await self._pinned(request, row, admitted.ok)
         finally:
             admitted.ok.release()
 
-    async def _pinned(self, request: SearchRequest, row: Row) -> Result[SearchAnswer, Refusal]:
+    async def _pinned(
+        self, request: SearchRequest, row: Row, ticket: Ticket
+    ) -> Result[SearchAnswer, Refusal]:
         shard_map = self._catalogue.current
         if shard_map is None:
             return Error(_not_ready("no shard map yet"))
@@ -108,12 +111,19 @@
         if unknown:
             reason = f"snapshot {shard_map.snapshot} has no shard {unknown[0]!r}"
             return Error(Refusal(RefusalCode.BAD_REQUEST, reason, step=Step.ROUTE))
-        return Ok(await self._gather(request, shard_map, names, row))
+        return Ok(await self._gather(request, shard_map, names, row, ticket))
 
     async def _gather(
-        self, request: SearchRequest, shard_map: ShardMap, names: tuple[str, ...], row: Row
+        self,
+        request: SearchRequest,
+        shard_map: ShardMap,
+        names: tuple[str, ...],
+        row: Row,
+        ticket: Ticket,
     ) -> SearchAnswer:
-        gather = Gather(request, shard_map, names, row.rank, self._fleet, self._policies)
+        gather = Gather(
+            request, shard_map, names, row.rank, self._fleet, self._policies, ticket.progress
+        )
         return await gather.run()
 
     def _shard_count(self) -> int:
--- /dev/null
+++ b/auburncart/coordination/tests/test_ranked.py
@@ -0,0 +1,186 @@
+"""Admission under floods: ranks, floors, fairness, limits and deadlines."""
+
+import asyncio
+import unittest
+from collections import Counter
+
+from auburncart.coordination.capacity import FixedCapacity
+from auburncart.coordination.ranked import RankedAdmission
+from auburncart.coordination.table import TableKeeper
+from auburncart.state import Ran, Rank, Row, Table, TableDocument, Work
+from auburncart.tests.virtual import virtual_time
+
+COST = 10
+SERVICE_SECONDS = 0.01
+FLOORS = (0.0, 0.1, 0.05)
+
+
+class Load:
+    """Requests that hold their ticket for a fixed time, counted by customer and rank."""
+
+    def __init__(self, limit: float = 4 * COST, vms: int = 1) -> None:
+        self.tables = TableKeeper()
+        self.tables.install(TableDocument(Table(1, (), FLOORS)))
+        capacity = FixedCapacity(limit)
+        capacity.record("search", SERVICE_SECONDS, COST, 0.0, 0.0)
+        self.admission = RankedAdmission(self.tables, capacity, lambda: vms)
+        self.served: Counter[tuple[str, Rank]] = Counter()
+        self.refusals: list = []
+        self.waits: dict[tuple[str, Rank], list[float]] = {}
+        self.at_work = 0
+        self.peak = 0
+
+    async def request(
+        self, customer: str, rank: Rank, *, seconds: float = 60.0, row: Row | None = None
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        row = row or Row(customer, "search", rank, max_queued=100_000, max_in_flight=1000)
+        work = Work("r1", customer, "search", rank, start + seconds, start, COST)
+        admitted = await self.admission.admit(work, row)
+        if admitted.is_error():
+            self.refusals.append((admitted.error, loop.time() - start))
+            return
+        self.waits.setdefault((customer, rank), []).append(loop.time() - start)
+        self.at_work += 1
+        self.peak = max(self.peak, self.at_work)
+        try:
+            await asyncio.sleep(SERVICE_SECONDS)
+            self.served[customer, rank] += 1
+        finally:
+            self.at_work -= 1
+            admitted.ok.release()
+
+    async def flood(self, customer: str, rank: Rank, count: int, **options) -> None:
+        await asyncio.gather(*(self.request(customer, rank, **options) for _ in range(count)))
+
+
+async def during(load: Load, *floods, seconds: float = 1.0) -> None:
+    tasks = [asyncio.create_task(flood) for flood in floods]
+    await asyncio.sleep(seconds)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await asyncio.sleep(SERVICE_SECONDS)
+
+
+class RankTest(unittest.TestCase):
+    @virtual_time
+    async def test_urgent_request_does_not_wait_behind_a_background_flood(self) -> None:
+        load = Load()
+
+        async def urgent() -> None:
+            for _ in range(20):
+                await asyncio.sleep(0.03)
+                await load.request("b", Rank.URGENT)
+
+        await during(load, load.flood("a", Rank.BACKGROUND, 2000), urgent())
+        self.assertEqual(max(load.waits["b", Rank.URGENT]), 0.0)
+        self.assertLessEqual(load.peak, 5)
+
+    @virtual_time
+    async def test_floors_hold_in_an_urgent_flood(self) -> None:
+        load = Load()
+
+        async def urgent_flood() -> None:
+            tasks = [asyncio.create_task(load.request("a", Rank.URGENT)) for _ in range(50)]
+            for _ in range(1000):
+                await asyncio.sleep(0.001)
+                tasks.append(asyncio.create_task(load.request("a", Rank.URGENT)))
+
+        await during(
+            load,
+            urgent_flood(),
+            load.flood("b", Rank.NORMAL, 500),
+            load.flood("c", Rank.BACKGROUND, 500),
+        )
+        total = sum(load.served.values())
+        self.assertGreaterEqual(load.served["b", Rank.NORMAL] / total, 0.08)
+        self.assertGreaterEqual(load.served["c", Rank.BACKGROUND] / total, 0.04)
+        self.assertGreaterEqual(load.served["a", Rank.URGENT] / total, 0.75)
+
+    @virtual_time
+    async def test_urgent_queue_that_does_not_empty_is_cut_short(self) -> None:
+        load = Load()
+
+        async def urgent_flood() -> None:
+            for _ in range(1200):
+                await asyncio.sleep(1 / 1200)  # three times what the capacity carries
+                asyncio.ensure_future(load.request("a", Rank.URGENT))
+
+        await during(load, urgent_flood(), seconds=1.1)
+        late = sorted(load.waits["a", Rank.URGENT][len(load.waits["a", Rank.URGENT]) // 4 :])
+        self.assertLessEqual(late[int(0.99 * len(late))], 2 * SERVICE_SECONDS)
+        self.assertGreaterEqual(load.served["a", Rank.URGENT], 0.9 * 400)
+
+
+class FairnessTest(unittest.TestCase):
+    @virtual_time
+    async def test_flood_of_one_customer_leaves_the_other_its_share(self) -> None:
+        load = Load()
+        await during(
+            load,
+            load.flood("flooder", Rank.NORMAL, 3000),
+            load.flood("other", Rank.NORMAL, 150),
+        )
+        self.assertEqual(load.served["other", Rank.NORMAL], 150)
+        self.assertLess(max(load.waits["other", Rank.NORMAL]), 150 * 2 * SERVICE_SECONDS / 4 + 0.01)
+
+    @virtual_time
+    async def test_customers_share_by_weight(self) -> None:
+        load = Load()
+        rows = {
+            name: Row(name, "search", Rank.NORMAL, weight, 1000, 100_000)
+            for name, weight in (("heavy", 3.0), ("light", 1.0))
+        }
+        await during(
+            load, *(load.flood(name, Rank.NORMAL, 1000, row=row) for name, row in rows.items())
+        )
+        ratio = load.served["heavy", Rank.NORMAL] / load.served["light", Rank.NORMAL]
+        self.assertAlmostEqual(ratio, 3.0, delta=0.2)
+
+
+class LimitTest(unittest.TestCase):
+    @virtual_time
+    async def test_request_that_cannot_start_in_time_is_refused_at_once(self) -> None:
+        load = Load()
+        flood = asyncio.create_task(load.flood("a", Rank.BACKGROUND, 400))
+        await asyncio.sleep(0.1)
+        await load.request("a", Rank.BACKGROUND, seconds=0.2)
+        ((refusal, waited),) = load.refusals
+        self.assertEqual((refusal.ran, waited), (Ran.NO, 0.0))
+        self.assertAlmostEqual(refusal.retry_after, 360 * SERVICE_SECONDS / 4, delta=0.2)
+        await flood
+
+    @virtual_time
+    async def test_request_that_waited_past_its_use_never_starts(self) -> None:
+        load = Load(limit=COST)
+        await load.request("a", Rank.NORMAL)
+        blocker = await load.admission.admit(
+            Work("r0", "x", "search", Rank.URGENT, 60.0, 0.0, COST), Row("x", "search", Rank.URGENT)
+        )
+        await load.request("a", Rank.NORMAL, seconds=0.2)
+        self.assertEqual(load.served["a", Rank.NORMAL], 1)
+        ((refusal, waited),) = load.refusals
+        self.assertEqual(refusal.ran, Ran.NO)
+        self.assertLess(waited, 0.2)
+        blocker.ok.release()
+
+    @virtual_time
+    async def test_row_limits_are_kept_and_shared_between_vms(self) -> None:
+        load = Load(limit=1000 * COST, vms=2)
+        row = Row("a", "search", Rank.NORMAL, 1.0, max_in_flight=6, max_queued=5)
+        await load.flood("a", Rank.NORMAL, 20, row=row)
+        self.assertEqual(load.peak, 3)
+        self.assertEqual(load.served["a", Rank.NORMAL], 8)
+        self.assertEqual(len(load.refusals), 12)
+
+    @virtual_time
+    async def test_cancelled_requests_leave_no_place_taken(self) -> None:
+        load = Load()
+        await during(load, load.flood("a", Rank.NORMAL, 300), seconds=0.035)
+        self.assertEqual(load.admission.waiting(Rank.NORMAL), 0)
+        before = sum(load.served.values())
+        await load.flood("b", Rank.NORMAL, 4)
+        self.assertEqual(sum(load.served.values()) - before, 4)
+        self.assertEqual(max(load.waits["b", Rank.NORMAL]), 0.0)
