--- a/auburncart/coordination/catalogue.py
+++ b/auburncart/coordination/catalogue.py
@@ -19,6 +19,7 @@
     def __init__(self) -> None:
         self._current: ShardMap | None = None
         self._slots = 0
+        self._arrived = asyncio.Event()
 
     @property
     def current(self) -> ShardMap | None:
@@ -30,6 +31,10 @@
         """Number of slots of all replicas in force, 0 before the first shard map."""
         return self._slots
 
+    async def wait(self) -> None:
+        """Wait until one is in force."""
+        await self._arrived.wait()
+
     def install(self, shard_map: ShardMap) -> bool:
         """Put a shard map in force if it is newer than the one in force.
 
@@ -44,6 +49,7 @@
             for replica in shard.replicas
         }
         self._slots = sum(replicas.values())
+        self._arrived.set()
         return True
 
     async def follow(self, store: Store) -> None:
--- a/auburncart/coordination/policies.py
+++ b/auburncart/coordination/policies.py
@@ -5,8 +5,6 @@
 
 from auburncart.coordination.admission import Admission, FirstComeAdmission
 from auburncart.coordination.batching import Batching, OnePerRequest, UpToLimit
-from auburncart.coordination.capacity import AdaptiveCapacity
-from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.choice import ReplicaChoice, RoundRobinChoice
 from auburncart.coordination.hedge import Hedging, NoHedging
 from auburncart.coordination.limits import ConnectionLimit, FixedLimit
@@ -14,7 +12,6 @@
 from auburncart.coordination.quarantine import NoQuarantine, Quarantine
 from auburncart.coordination.ranked import RankedAdmission
 from auburncart.coordination.retry import Retrying, RetryThrice
-from auburncart.coordination.table import TableKeeper
 
 __all__ = ["Policies", "baseline_policies", "default_policies"]
 
@@ -48,23 +45,16 @@
     )
 
 
-def default_policies(
-    tables: TableKeeper, catalogue: Catalogue, vms: int, sharing: Callable[[], int], seed: int = 0
-) -> Policies:
+def default_policies(vms: int, sharing: Callable[[], int] | None = None, seed: int = 0) -> Policies:
     """Return the policies that the daemon runs with.
 
-    :param tables: the table in force.
-    :param catalogue: the shard map in force.
     :param vms: number of VMs that may connect to one upstream.
-    :param sharing: returns the number of VMs that share a limit of a data centre.
+    :param sharing: returns the number of VMs that share a limit of a data centre now; by default
+        ``vms``.
     :param seed: seed of random draws.
     """
-
-    def slots_share() -> float:
-        return catalogue.slots / sharing()
-
     return Policies(
-        admission=RankedAdmission(tables, AdaptiveCapacity(slots_share), sharing),
+        admission=RankedAdmission(sharing or (lambda: vms)),
         batching=UpToLimit(),
         choice=LeastLoadedChoice(seed),
         hedging=NoHedging(),
--- a/auburncart/coordination/ranked.py
+++ b/auburncart/coordination/ranked.py
@@ -6,7 +6,8 @@
 from expression import Error, Ok, Result
 
 from auburncart.coordination.admission import Admission, Ticket
-from auburncart.coordination.capacity import Capacity
+from auburncart.coordination.capacity import AdaptiveCapacity, Capacity
+from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.lane import Lane, Waiter
 from auburncart.coordination.mailbox import CLOCK_STEP_SECONDS
 from auburncart.coordination.table import TableKeeper
@@ -59,16 +60,16 @@
     capacity, so that a flood of a less urgent rank does not stand in its way. A rank that waits
     is owed its floor of all that is let in, and goes first when it is owed enough.
 
-    :param tables: the table in force, for its floors.
-    :param capacity: limit on the sub-queries at work.
-    :param vms: returns the number of VMs that share a row's ``max_in_flight``.
+    :param vms: returns the number of VMs that share the slots and a row's ``max_in_flight``.
+    :param capacity: limit on the sub-queries at work; by default one that follows the upstreams.
     """
 
-    def __init__(self, tables: TableKeeper, capacity: Capacity, vms: Callable[[], int]) -> None:
-        self._tables = tables
-        self._capacity = capacity
+    def __init__(self, vms: Callable[[], int], capacity: Capacity | None = None) -> None:
         self._vms = vms
-        self._lanes = {rank: Lane(capacity, prompt=rank is Rank.URGENT) for rank in Rank}
+        self._tables: TableKeeper | None = None
+        self._catalogue: Catalogue | None = None
+        self._capacity = capacity or AdaptiveCapacity(self._slots_share)
+        self._lanes = {rank: Lane(self._capacity, prompt=rank is Rank.URGENT) for rank in Rank}
         self._queued: dict[RowKey, int] = {}
         self._at_work: dict[RowKey, int] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -82,6 +83,11 @@
         """Return the number of requests of a rank that wait."""
         return len(self._lanes[rank].queue)
 
+    def follow(self, tables: TableKeeper, catalogue: Catalogue) -> None:
+        """Take floors from the table and the number of slots from the shard map in force."""
+        self._tables = tables
+        self._catalogue = catalogue
+
     async def admit(self, work: Work, row: Row) -> Result[Ticket, Refusal]:
         """Wait for a turn, unless it could not come in time."""
         refusal = self._early_refusal(work, row)
@@ -103,6 +109,10 @@
             return Error(self._overloaded("the customer's queue does not empty", self._needed()))
         return Ok(RankedTicket(self, waiter, in_use))
 
+    def _slots_share(self) -> float:
+        slots = self._catalogue.slots if self._catalogue else 0
+        return slots / max(1, self._vms())
+
     def _early_refusal(self, work: Work, row: Row) -> Refusal | None:
         now = asyncio.get_running_loop().time()
         lane = self._lanes[work.rank]
@@ -203,7 +213,7 @@
             waiter.turn.set_result(True)
 
     def _count(self, work: Work, now: float) -> None:
-        table = self._tables.table
+        table = self._tables.table if self._tables else None
         for rank, lane in self._lanes.items():
             if rank >= work.rank:
                 lane.gate.enter(work.cost, now)
--- a/auburncart/coordination/tests/test_ranked.py
+++ b/auburncart/coordination/tests/test_ranked.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from auburncart.coordination.capacity import FixedCapacity
+from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.ranked import RankedAdmission
 from auburncart.coordination.table import TableKeeper
 from auburncart.state import Ran, Rank, Row, Table, TableDocument, Work
@@ -23,7 +24,8 @@
         self.tables.install(TableDocument(Table(1, (), FLOORS)))
         capacity = FixedCapacity(limit)
         capacity.record("search", SERVICE_SECONDS, COST, 0.0, 0.0)
-        self.admission = RankedAdmission(self.tables, capacity, lambda: vms)
+        self.admission = RankedAdmission(lambda: vms, capacity)
+        self.admission.follow(self.tables, Catalogue())
         self.served: Counter[tuple[str, Rank]] = Counter()
         self.refusals: list = []
         self.waits: dict[tuple[str, Rank], list[float]] = {}
