--- a/auburncart/coordination/__init__.py
+++ b/auburncart/coordination/__init__.py
@@ -15,7 +15,7 @@
 from auburncart.coordination.node import Node
 from auburncart.coordination.observer import Observer, SilentObserver
 from auburncart.coordination.order import OrderService
-from auburncart.coordination.policies import Policies, baseline_policies
+from auburncart.coordination.policies import Policies, baseline_policies, default_policies
 from auburncart.coordination.search import SearchService
 from auburncart.coordination.table import TABLE, TableKeeper
 from auburncart.coordination.upstream import Upstream
@@ -45,4 +45,5 @@
     "UpstreamConnection",
     "UpstreamDialer",
     "baseline_policies",
+    "default_policies",
 ]
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -44,6 +44,7 @@
         self._observer = observer
         self._catalogue = Catalogue()
         self._tables = TableKeeper()
+        policies.admission.follow(self._tables, self._catalogue)
         self._fleet = Fleet(self._make_upstream)
         self._searches = SearchService(
             self._catalogue, self._tables, self._fleet, policies, observer
--- a/auburncart/scenario/virtual.py
+++ b/auburncart/scenario/virtual.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from auburncart.coordination import SHARD_MAP, TABLE, Node, Policies, SilentObserver
-from auburncart.coordination.policies import baseline_policies
+from auburncart.coordination.policies import baseline_policies, default_policies
 from auburncart.exception import AuburncartError
 from auburncart.protocol.platform import encode_value, object_path
 from auburncart.scenario.language import Command
@@ -35,6 +35,7 @@
 
 POLICIES: dict[str, Callable[[int], Policies]] = {
     "baseline": lambda vms: baseline_policies(PLACES, vms),
+    "default": lambda vms: default_policies(vms),
 }
 
 
