Orders: claims in buckets by conditional write, given back only by their holder

Change: holders are process nonce and number; only the holder gives a claim back, and only unsent; ends that cannot be stored are tried again with jitter; orders go through the queue of their upstream over a fresh connection; the key is a UUID of version 7; a caller says 'repeat' and then never reads 'no' unless the claim was read. Ruled out: taking claims over after a lease, which needs a third write for each order and still cannot tell whether a dead holder sent. The test of the repeated key in test_search.py now uses a key of the required form.

--- a/auburncart/command/request.py
+++ b/auburncart/command/request.py
@@ -1,10 +1,13 @@
 """``auburncart search`` and ``auburncart order``: send one request and print the answer."""
 
+import secrets
 import sys
+import time
 
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from auburncart.coordination.idempotency import make_key
 from auburncart.exception import AuburncartError
 
 __all__ = ["order", "post", "search"]
@@ -51,7 +54,8 @@
     customer: str,
     kind: str,
     shard: str,
-    key: str,
+    key: str = "",
+    repeat: bool = False,
     deadline_ms: int = 5000,
 ) -> int:
     """Send an order, which takes effect at most once, and print what became of it as JSON.
@@ -61,22 +65,30 @@
     :param customer: customer on whose account it runs.
     :param kind: kind of work.
     :param shard: shard that carries it out.
-    :param key: idempotency key; repeat the same order only with the same key.
+    :param key: idempotency key, a UUID of version 7; a new one is made and printed without it.
+    :param repeat: say that an order with this key was sent before.
     :param deadline_ms: milliseconds to wait for the outcome.
     """
     body: dict[str, object] = {
         "customer": customer,
         "kind": kind,
         "shard": shard,
-        "key": key,
+        "key": key or _new_key(),
+        "repeat": repeat,
         "order": text,
         "deadline_ms": deadline_ms,
     }
+    if not key:
+        sys.stderr.write(f"key {body['key']}\n")
     status, reply = post(to, "/v1/order", body, deadline_ms / 1000.0)
     sys.stdout.write(reply + "\n")
     return 0 if status == 200 and '"ran":"yes"' in reply else EXIT_NOT_ANSWERED
 
 
+def _new_key() -> str:
+    return make_key(time.time(), secrets.randbits(80))
+
+
 def post(address: str, path: str, body: dict[str, object], seconds: float) -> tuple[int, str]:
     """Post JSON once and return the status and text of the reply.
 
--- a/auburncart/coordination/__init__.py
+++ b/auburncart/coordination/__init__.py
@@ -1,7 +1,9 @@
 """Every decision of the tier, behind abstract base classes and without codec or socket."""
 
 from auburncart.coordination.catalogue import SHARD_MAP, Catalogue
+from auburncart.coordination.claims import Claims, StoredClaims
 from auburncart.coordination.fleet import Fleet
+from auburncart.coordination.holder import ClaimHolder
 from auburncart.coordination.interfaces import (
     Key,
     Membership,
@@ -20,6 +22,8 @@
 
 __all__ = [
     "Catalogue",
+    "ClaimHolder",
+    "Claims",
     "Fleet",
     "Key",
     "Membership",
@@ -32,6 +36,7 @@
     "SilentObserver",
     "Store",
     "Stored",
+    "StoredClaims",
     "TABLE",
     "TableKeeper",
     "Upstream",
--- /dev/null
+++ b/auburncart/coordination/claims.py
@@ -0,0 +1,55 @@
+"""The claims of orders, kept in buckets that are written on condition."""
+
+from abc import ABC, abstractmethod
+
+from auburncart.coordination.bucket import BucketWriter
+from auburncart.coordination.idempotency import place_of
+from auburncart.coordination.interfaces import Store
+from auburncart.state import ClaimChange, ClaimVerdict
+
+__all__ = ["Claims", "StoredClaims"]
+
+
+class Claims(ABC):
+    """Applies changes to claims."""
+
+    @abstractmethod
+    async def apply(self, change: ClaimChange) -> ClaimVerdict:
+        """Apply one change; to apply it again changes nothing more.
+
+        :raises StoreUnavailableError: it is not known to be applied; ``sent`` tells whether it
+            may be.
+        """
+
+
+class StoredClaims(Claims):
+    """Writes the buckets of the store; changes of one bucket share a write.
+
+    :param store: the platform's store.
+    :param interval: least seconds between two writes of one bucket.
+    """
+
+    def __init__(self, store: Store, interval: float = 0.2) -> None:
+        self._store = store
+        self._interval = interval
+        self._writers: dict[str, BucketWriter] = {}
+
+    @property
+    def writers(self) -> int:
+        """Number of buckets that are being written."""
+        return len(self._writers)
+
+    async def apply(self, change: ClaimChange) -> ClaimVerdict:
+        """Apply one change with the next write of its bucket."""
+        place = place_of(change.claim.key)
+        writer = self._writers.get(place.name)
+        if writer is None:
+            writer = BucketWriter(self._store, place.name, self._interval)
+            self._writers[place.name] = writer
+            writer.start(lambda: self._writers.pop(place.name))
+        return await writer.put(change, place.period)
+
+    async def close(self) -> None:
+        """End all writers; changes at work are not known to be applied."""
+        for writer in list(self._writers.values()):
+            await writer.close()
--- a/auburncart/coordination/job.py
+++ b/auburncart/coordination/job.py
@@ -1,11 +1,13 @@
 """One try of one sub-query on its way through an upstream's queue."""
 
+import asyncio
 from typing import NamedTuple
 
 from auburncart.coordination.mailbox import Mailbox
-from auburncart.state import Failure, Rank, ShardAnswer, SubQuery
+from auburncart.exception import UpstreamError
+from auburncart.state import Failure, OrderReply, Rank, ShardAnswer, SubQuery, UpstreamOrder
 
-__all__ = ["Job", "JobResult"]
+__all__ = ["Job", "JobResult", "OrderJob"]
 
 
 class JobResult(NamedTuple):
@@ -61,3 +63,44 @@
     def fail(self, failure: Failure) -> None:
         """Hand the failure to the waiting search."""
         self._mailbox.post(JobResult(self, None, failure))
+
+
+class OrderJob:
+    """One order on its way through an upstream's queue.
+
+    :param order: the order.
+    """
+
+    __slots__ = ("_done", "order", "sent")
+
+    def __init__(self, order: UpstreamOrder) -> None:
+        self.order = order
+        self.sent = False
+        self._done: asyncio.Future[OrderReply] = asyncio.get_running_loop().create_future()
+
+    @property
+    def waited_for(self) -> bool:
+        """Whether somebody still waits for the reply."""
+        return not self._done.done()
+
+    async def reply(self) -> OrderReply:
+        """Wait for the reply until the order's deadline.
+
+        :raises UpstreamError: there is none; ``sent`` tells whether it may have arrived.
+        """
+        try:
+            async with asyncio.timeout_at(self.order.deadline):
+                return await self._done
+        except TimeoutError as error:
+            step = "reply" if self.sent else "queue"
+            raise UpstreamError("deadline passed", step=step, sent=self.sent) from error
+
+    def answer(self, reply: OrderReply) -> None:
+        """Hand the reply to whoever waits."""
+        if self.waited_for:
+            self._done.set_result(reply)
+
+    def fail(self, error: UpstreamError) -> None:
+        """Hand a failure to whoever waits."""
+        if self.waited_for:
+            self._done.set_exception(error)
--- a/auburncart/coordination/order.py
+++ b/auburncart/coordination/order.py
@@ -1,169 +1,163 @@
 """The service that carries out non-idempotent orders at most once."""
 
 import asyncio
-from typing import NamedTuple
 
-import xxhash
 from eliot import start_action
 from expression import Error, Ok, Result
 
 from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.choice import ReplicaChoice
 from auburncart.coordination.fleet import Fleet
-from auburncart.coordination.interfaces import Key, Store, Stored
+from auburncart.coordination.holder import ClaimHolder
+from auburncart.coordination.idempotency import age_of
 from auburncart.coordination.observer import Observer
+from auburncart.coordination.refusals import OrderRefusals
 from auburncart.coordination.table import TableKeeper
 from auburncart.coordination.upstream import Upstream
-from auburncart.exception import StoreConflictError, StoreUnavailableError, UpstreamError
+from auburncart.exception import StoreUnavailableError, UpstreamError
 from auburncart.state import (
     Claim,
     ClaimState,
+    ClaimVerdict,
     OrderAnswer,
-    OrderReply,
     OrderRequest,
     Ran,
     Refusal,
-    RefusalCode,
     Row,
-    Step,
     UpstreamOrder,
+    Verdict,
     find_row,
 )
 
-__all__ = ["OrderService", "order_digest"]
-
-RETRY_AFTER_SECONDS = 2.0
+__all__ = ["OrderService"]
 
 RAN_BY_STATE = {
     ClaimState.SENDING: Ran.UNKNOWN,
     ClaimState.DONE: Ran.YES,
-    ClaimState.NOT_RUN: Ran.NO,
+    ClaimState.REJECTED: Ran.NO,
+    ClaimState.RELEASED: Ran.NO,
     ClaimState.UNKNOWN: Ran.UNKNOWN,
 }
 
 
-class _Held(NamedTuple):
-    """A claim that this try holds, with the tag of its stored version."""
-
-    claim: Claim
-    etag: str
-
-
-def order_digest(request: OrderRequest) -> str:
-    """Return a digest of everything that makes two orders the same.
-
-    :return: 32 hexadecimal digits.
-    """
-    parts = (request.customer, request.kind, request.shard, request.body)
-    text = "".join(f"{len(part)}:{part}" for part in parts)
-    return xxhash.xxh3_128_hexdigest(text.encode())
-
-
 class OrderService:
     """Claims an order by a conditional write, sends it once, and stores the outcome.
 
-    A claim is never taken over: whoever finds another's claim reports its state. A holder that
-    dies leaves its order with outcome unknown.
+    A claim is never taken over: whoever finds another's claim reports its state. Only the holder
+    itself gives it back, and only if it knows that it did not send. A holder that dies leaves its
+    order with outcome unknown. Each order is carried out by a task of its own, which ends neither
+    with the caller's patience nor with its connection.
 
-    :param name: name of this VM's process, unique among all processes that ever hold claims.
+    :param holder: claims of this process.
+    :param epoch: seconds since the epoch at loop time 0.
     """
 
     def __init__(
         self,
-        name: str,
-        store: Store,
+        holder: ClaimHolder,
         catalogue: Catalogue,
         tables: TableKeeper,
         fleet: Fleet,
         choice: ReplicaChoice,
         observer: Observer,
+        epoch: float,
     ) -> None:
-        self._name = name
-        self._store = store
+        self._holder = holder
         self._catalogue = catalogue
         self._tables = tables
         self._fleet = fleet
         self._choice = choice
         self._observer = observer
+        self._epoch = epoch
+        self._tasks: set[asyncio.Task[Result[OrderAnswer, Refusal]]] = set()
+
+    @property
+    def at_work(self) -> int:
+        """Number of orders whose outcome is neither known nor stored."""
+        return len(self._tasks) + self._holder.unsettled
 
     async def order(self, request: OrderRequest) -> Result[OrderAnswer, Refusal]:
         """Carry out one order, or say truly what became of it."""
-        table = self._tables.table
-        row = find_row(table, request.customer, request.kind) if table else None
+        row = self._row(request)
         if row is None:
-            reason = f"no row for customer {request.customer!r} and kind {request.kind!r}"
-            return Error(Refusal(RefusalCode.BAD_REQUEST, reason))
-        arrival = asyncio.get_running_loop().time()
+            return Error(OrderRefusals(request).no_row())
+        task = asyncio.create_task(self._observed(request, row), name=f"order {request.request_id}")
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return await asyncio.shield(task)
+
+    async def close(self, seconds: float) -> int:
+        """Wait for the orders at work and for their outcomes to be stored.
+
+        :param seconds: most seconds to wait.
+        :return: number of orders that were not waited for.
+        """
+        until = asyncio.get_running_loop().time() + seconds
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=seconds)
+        await self._holder.close(until)
+        return self.at_work
+
+    def _row(self, request: OrderRequest) -> Row | None:
+        table = self._tables.table
+        return find_row(table, request.customer, request.kind) if table else None
+
+    async def _observed(self, request: OrderRequest, row: Row) -> Result[OrderAnswer, Refusal]:
+        loop = asyncio.get_running_loop()
+        arrival = loop.time()
         with start_action(
             action_type="order", request_id=request.request_id, key=request.key
         ) as action:
-            result = await self._routed(request, row)
+            result = await self._routed(request)
             ran = result.error.ran if result.is_error() else result.ok.ran
             action.add_success_fields(ran=ran.value)
-        self._observer.request_ended(
-            row.rank, ran.value, asyncio.get_running_loop().time() - arrival
-        )
+        self._observer.request_ended(row.rank, ran.value, loop.time() - arrival)
         return result
 
-    async def _routed(self, request: OrderRequest, row: Row) -> Result[OrderAnswer, Refusal]:
+    async def _routed(self, request: OrderRequest) -> Result[OrderAnswer, Refusal]:
+        refusals = OrderRefusals(request)
         now = asyncio.get_running_loop().time()
+        age = age_of(request.key, self._epoch + now)
+        if age.expired or age.ahead:
+            return Error(refusals.expired() if age.expired else refusals.ahead())
         shard_map = self._catalogue.current
         shard = shard_map.shards.get(request.shard) if shard_map else None
         if shard is None:
-            reason = f"no shard {request.shard!r}"
-            return Error(Refusal(RefusalCode.BAD_REQUEST, reason, step=Step.ROUTE))
+            return Error(refusals.no_shard())
         upstream = self._choice.choose(self._fleet.candidates(shard), now)
         if upstream is None:
-            reason = f"no upstream of shard {request.shard!r} takes work"
-            return Error(_unavailable(Step.ROUTE, reason))
-        claimed = await self._claim(request)
-        if claimed.is_error():
-            return Error(claimed.error)
-        if isinstance(claimed.ok, Claim):
-            return Ok(_stored_answer(request, claimed.ok))
-        return await self._send(request, claimed.ok, upstream)
-
-    async def _claim(self, request: OrderRequest) -> Result[_Held | Claim, Refusal]:
-        key: Key[Claim] = Key("claims", xxhash.xxh3_128_hexdigest(request.key.encode()))
-        holder = f"{self._name}/{request.request_id}"
-        claim = Claim(request.key, order_digest(request), ClaimState.SENDING, holder)
-        try:
-            return Ok(_Held(claim, await self._store.write(key, claim, "")))
-        except StoreConflictError:
-            return await self._existing(key, claim)
-        except StoreUnavailableError:
-            return await self._after_lost_reply(key, claim)
+            return Error(refusals.no_upstream())
+        return await self._claimed(request, upstream)
 
-    async def _existing(self, key: Key[Claim], own: Claim) -> Result[_Held | Claim, Refusal]:
-        try:
-            stored = await self._store.read(key)
-        except StoreUnavailableError as error:
-            return Error(_unknown(f"another try holds the key; {error}"))
-        if stored is None:
-            return Error(_unknown("another try held the key"))
-        return self._compare(stored, own)
-
-    async def _after_lost_reply(
-        self, key: Key[Claim], own: Claim
-    ) -> Result[_Held | Claim, Refusal]:
+    async def _claimed(
+        self, request: OrderRequest, upstream: Upstream
+    ) -> Result[OrderAnswer, Refusal]:
+        claim = self._holder.make_claim(request)
         try:
-            stored = await self._store.read(key)
+            verdict = await self._holder.claim(claim, request.deadline)
         except StoreUnavailableError as error:
-            return Error(_unavailable(Step.CLAIM, f"the order was not sent: {error}"))
-        if stored is None:
-            return Error(_unavailable(Step.CLAIM, "the order was not sent: claim not written"))
-        return self._compare(stored, own)
-
-    def _compare(self, stored: Stored[Claim], own: Claim) -> Result[_Held | Claim, Refusal]:
-        if stored.value.holder == own.holder:
-            return Ok(_Held(stored.value, stored.etag))
-        if stored.value.digest != own.digest:
-            reason = "the idempotency key belongs to another order"
-            return Error(Refusal(RefusalCode.CONFLICT, reason, step=Step.CLAIM))
-        return Ok(stored.value)
+            return Error(OrderRefusals(request).not_claimed(error))
+        if verdict.verdict is Verdict.HELD:
+            return await self._send(request, claim, upstream)
+        return self._not_held(request, claim, verdict)
+
+    def _not_held(
+        self, request: OrderRequest, own: Claim, verdict: ClaimVerdict
+    ) -> Result[OrderAnswer, Refusal]:
+        refusals = OrderRefusals(request)
+        if verdict.claim is None:
+            return Error(
+                refusals.expired() if verdict.verdict is Verdict.EXPIRED else refusals.full()
+            )
+        if verdict.claim.digest != own.digest:
+            return Error(refusals.other_order())
+        ran = RAN_BY_STATE[verdict.claim.state]
+        return Ok(
+            OrderAnswer(request.request_id, request.key, ran, verdict.claim.outcome, repeated=True)
+        )
 
     async def _send(
-        self, request: OrderRequest, held: _Held, upstream: Upstream
+        self, request: OrderRequest, claim: Claim, upstream: Upstream
     ) -> Result[OrderAnswer, Refusal]:
         order = UpstreamOrder(
             request.request_id,
@@ -176,41 +170,11 @@
         try:
             reply = await upstream.order(order)
         except UpstreamError as error:
-            state = ClaimState.UNKNOWN if error.sent else ClaimState.NOT_RUN
-            await self._finish(held, state, None)
-            return Error(_failed(error))
-        return await self._replied(request, held, reply)
-
-    async def _replied(
-        self, request: OrderRequest, held: _Held, reply: OrderReply
-    ) -> Result[OrderAnswer, Refusal]:
-        state = ClaimState.DONE if reply.accepted else ClaimState.NOT_RUN
-        await self._finish(held, state, reply.outcome)
+            if error.sent:
+                await self._holder.finish(claim, ClaimState.UNKNOWN, None, request.deadline)
+            else:
+                await self._holder.release(claim, request.deadline)
+            return Error(OrderRefusals(request).failed(error))
+        state = ClaimState.DONE if reply.accepted else ClaimState.REJECTED
+        await self._holder.finish(claim, state, reply.outcome, request.deadline)
         return Ok(OrderAnswer(request.request_id, request.key, RAN_BY_STATE[state], reply.outcome))
-
-    async def _finish(self, held: _Held, state: ClaimState, outcome: object) -> None:
-        key: Key[Claim] = Key("claims", xxhash.xxh3_128_hexdigest(held.claim.key.encode()))
-        claim = held.claim._replace(state=state, outcome=outcome)
-        try:
-            await self._store.write(key, claim, held.etag)
-        except (StoreConflictError, StoreUnavailableError):
-            self._observer.counted("claim_outcome_not_stored")
-
-
-def _stored_answer(request: OrderRequest, claim: Claim) -> OrderAnswer:
-    ran = RAN_BY_STATE[claim.state]
-    return OrderAnswer(request.request_id, request.key, ran, claim.outcome, repeated=True)
-
-
-def _unavailable(step: Step, reason: str) -> Refusal:
-    return Refusal(RefusalCode.UNAVAILABLE, reason, Ran.NO, RETRY_AFTER_SECONDS, step)
-
-
-def _unknown(reason: str) -> Refusal:
-    return Refusal(RefusalCode.UNAVAILABLE, reason, Ran.UNKNOWN, RETRY_AFTER_SECONDS, Step.CLAIM)
-
-
-def _failed(error: UpstreamError) -> Refusal:
-    ran = Ran.UNKNOWN if error.sent else Ran.NO
-    code = RefusalCode.FAILED if error.sent else RefusalCode.UNAVAILABLE
-    return Refusal(code, str(error), ran, 0.0, Step.SEND, error.peer)
--- /dev/null
+++ b/auburncart/coordination/tests/test_order_interleavings.py
@@ -0,0 +1,122 @@
+"""At most once: random interleavings of several VMs over one platform."""
+
+import asyncio
+
+import async_solipsism
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from auburncart.coordination.tests.test_order_steps import World
+from auburncart.standins.platform import WriteFault
+from auburncart.state import Ran
+from auburncart.tests.steps import Fault
+
+VMS = st.sampled_from(("vm1", "vm2", "vm3"))
+KEYS = st.integers(1, 3).map(lambda number: f"00000000-03e8-7000-8000-{number:012}")
+WAITS = st.sampled_from((0.0, 0.001, 0.004, 0.01, 0.3, 1.0, 12.0))
+
+
+class OrderMachine(RuleBasedStateMachine):
+    """Sends orders to VMs that are paused, killed and cut off from the platform."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runner = asyncio.Runner(loop_factory=async_solipsism.EventLoop)
+        self.world = self.runner.run(self.make())
+        self.tries: list[asyncio.Task] = []
+        self.used: set[str] = set()
+        self.names = {name: name for name in ("vm1", "vm2", "vm3")}
+
+    async def make(self) -> World:
+        return World({})
+
+    @rule(vm=VMS, key=KEYS, body=st.sampled_from(("fix", "fix", "fix", "tear")), wait=WAITS)
+    def send(self, vm: str, key: str, body: str, wait: float) -> None:
+        self.runner.run(self.begin(self.names[vm], key, body, wait))
+
+    async def begin(self, vm: str, key: str, body: str, wait: float) -> None:
+        repeat = key in self.used
+        self.used.add(key)
+        request = self.world.send(vm, len(self.tries), key, body, repeat=repeat)
+        self.tries.append(asyncio.create_task(request))
+        await asyncio.sleep(wait)
+
+    @rule(wait=WAITS)
+    def advance(self, wait: float) -> None:
+        self.runner.run(asyncio.sleep(wait))
+
+    @rule(vm=VMS, seconds=st.sampled_from((0.5, 2.0, 10.0)), wait=WAITS)
+    def pause(self, vm: str, seconds: float, wait: float) -> None:
+        self.runner.run(self.hold(self.names[vm], seconds, wait))
+
+    @rule(vm=VMS, wait=WAITS)
+    def replace(self, vm: str, wait: float) -> None:
+        self.runner.run(self.hold(self.names[vm], float("inf"), wait))
+        self.names[vm] += "+"
+
+    async def hold(self, vm: str, seconds: float, wait: float) -> None:
+        self.world.steps.hold(vm, asyncio.get_running_loop().time() + seconds)
+        await asyncio.sleep(wait)
+
+    @rule(fault=st.sampled_from((WriteFault.LOST_REPLY, WriteFault.LOST_REQUEST)))
+    def lose_write(self, fault: WriteFault) -> None:
+        self.world.platform.fail_next_write(fault)
+
+    @rule(vm=VMS, fault=st.sampled_from((Fault.CUT_BEFORE, Fault.CUT_AFTER)))
+    def cut(self, vm: str, fault: Fault) -> None:
+        self.world.steps.strike(self.names[vm], fault)
+
+    @rule(delay=st.sampled_from((0.0, 0.003, 0.5)))
+    def slow_store(self, delay: float) -> None:
+        self.world.platform.set_delay(delay)
+
+    @rule(seconds=st.sampled_from((0.01, 1.0, 5.0)), wait=WAITS)
+    def outage(self, seconds: float, wait: float) -> None:
+        self.runner.run(self.begin_outage(seconds, wait))
+
+    async def begin_outage(self, seconds: float, wait: float) -> None:
+        self.world.platform.set_outage(True)
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds, self.world.platform.set_outage, False)
+        await asyncio.sleep(wait)
+
+    @rule()
+    def restart_upstream(self) -> None:
+        self.runner.run(self.restart())
+
+    async def restart(self) -> None:
+        self.world.upstream.kill()
+        await asyncio.sleep(0.01)
+        self.world.upstream.restart()
+
+    @invariant()
+    def every_order_took_effect_at_most_once(self) -> None:
+        keys = [effect.key for effect in self.world.upstream.effects]
+        assert len(keys) == len(set(keys)), keys
+
+    @invariant()
+    def what_was_said_is_true(self) -> None:
+        done = {effect.request_id for effect in self.world.upstream.effects}
+        for answer in self.world.answers:
+            if answer.ran is Ran.YES:
+                assert answer.effects == 1, answer
+            if answer.ran is Ran.NO:
+                assert answer.request_id not in done, answer
+
+    def teardown(self) -> None:
+        self.runner.run(self.end())
+        self.every_order_took_effect_at_most_once()
+        self.what_was_said_is_true()
+        self.runner.close()
+
+    async def end(self) -> None:
+        await asyncio.sleep(60.0)
+        await asyncio.gather(*self.tries)
+        await self.world.close()
+
+
+OrderMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=250, stateful_step_count=25, deadline=None, database=None
+)
+InterleavingTest = OrderMachine.TestCase
--- /dev/null
+++ b/auburncart/coordination/tests/test_order_steps.py
@@ -0,0 +1,168 @@
+"""At most once: a fault at every step of an order and its repeats, alone and in pairs."""
+
+import asyncio
+import itertools
+import random
+import unittest
+from typing import NamedTuple
+
+from auburncart.coordination import (
+    Catalogue,
+    ClaimHolder,
+    Fleet,
+    OrderService,
+    SilentObserver,
+    StoredClaims,
+    TableKeeper,
+    Upstream,
+    baseline_policies,
+)
+from auburncart.standins.fakes import FakeDialer, FakeStore
+from auburncart.standins.platform import PlatformModel
+from auburncart.standins.site import DEMO_TABLE, make_shard_map
+from auburncart.standins.upstream import UpstreamModel, UpstreamShape
+from auburncart.state import OrderRequest, Ran
+from auburncart.tests.steps import Fault, SteppedDialer, SteppedStore, Steps
+from auburncart.tests.virtual import virtual_time
+
+KEY = "00000000-03e8-7000-8000-000000000001"
+SHARD = "shard-01"
+DEADLINE_SECONDS = 1.0
+PATIENCE_SECONDS = 3.0
+HEALED_SECONDS = 60.0
+TRIES = ("vm1", "vm2", "vm1", "vm3")
+
+
+class Answer(NamedTuple):
+    """What a caller was told, and what had happened by then."""
+
+    request_id: str
+    ran: Ran | None
+    effects: int
+
+
+class World:
+    """Some VMs over one platform and one upstream."""
+
+    def __init__(self, plan: dict[int, Fault]) -> None:
+        self.steps = Steps(plan)
+        self.platform = PlatformModel()
+        shape = UpstreamShape("10.0.0.1:80", "s1", {SHARD: ()})
+        self.upstream = UpstreamModel(shape)
+        self.shard_map = make_shard_map([shape], ["dc1"], 1)
+        self.services: dict[str, OrderService] = {}
+        self.parts: list[Fleet | StoredClaims] = []
+        self.answers: list[Answer] = []
+
+    @property
+    def effects(self) -> int:
+        return len(self.upstream.effects)
+
+    def service(self, vm: str) -> OrderService:
+        if vm not in self.services:
+            self.services[vm] = self._make(vm)
+        return self.services[vm]
+
+    async def send(
+        self, vm: str, number: int, key: str = KEY, body: str = "fix", *, repeat: bool
+    ) -> Answer:
+        """Send one try and record its answer; None stands for no answer at all."""
+        deadline = asyncio.get_running_loop().time() + DEADLINE_SECONDS
+        request = OrderRequest(
+            f"r{number}", key, "ladera", "closure", SHARD, body, deadline, repeat
+        )
+        ran = None
+        try:
+            async with asyncio.timeout(PATIENCE_SECONDS):
+                result = await self.service(vm).order(request)
+            if not self.steps.killed(vm):
+                ran = result.error.ran if result.is_error() else result.ok.ran
+        except TimeoutError:
+            pass
+        answer = Answer(request.request_id, ran, self._effects_of(key))
+        self.answers.append(answer)
+        return answer
+
+    async def close(self) -> None:
+        for service in self.services.values():
+            for task in service._tasks:
+                task.cancel()
+            await service.close(0.0)
+        for part in self.parts:
+            await part.close()
+
+    def _effects_of(self, key: str) -> int:
+        return sum(effect.key == key for effect in self.upstream.effects)
+
+    def _make(self, vm: str) -> OrderService:
+        policies = baseline_policies(places=8, vms=3)
+        observer = SilentObserver()
+        dialer = SteppedDialer(vm, FakeDialer({"10.0.0.1:80": self.upstream}), self.steps)
+        fleet = Fleet(
+            lambda replica: Upstream(
+                replica,
+                local=True,
+                name=vm,
+                dialer=dialer,
+                batching=policies.batching,
+                limit=policies.limit,
+                quarantine=policies.quarantine,
+                observer=observer,
+            )
+        )
+        catalogue, tables = Catalogue(), TableKeeper()
+        catalogue.install(self.shard_map)
+        tables.install(DEMO_TABLE)
+        claims = StoredClaims(SteppedStore(vm, FakeStore(self.platform), self.steps))
+        self.parts += [fleet, claims]
+        holder = ClaimHolder(vm, claims, observer, random.Random(vm))
+        return OrderService(holder, catalogue, tables, fleet, policies.choice, observer, epoch=0.0)
+
+
+async def walk(plan: dict[int, Fault]) -> World:
+    """Send an order and its repeats under some faults, wait for all to heal, and repeat it."""
+    world = World(plan)
+    for number, vm in enumerate(TRIES):
+        await world.send(vm, number, repeat=number > 0)
+    world.steps.heal()
+    await asyncio.sleep(HEALED_SECONDS)
+    await world.send("vm4", len(TRIES), repeat=True)
+    await world.close()
+    return world
+
+
+class StepTest(unittest.TestCase):
+    def check(self, world: World, plan: dict[int, Fault]) -> None:
+        done = [effect.request_id for effect in world.upstream.effects]
+        with self.subTest(plan=plan, answers=world.answers, effects=done):
+            self.assertLessEqual(len(done), 1)
+            for answer in world.answers:
+                if answer.ran is Ran.NO:
+                    self.assertEqual(answer.effects, 0)
+                    self.assertNotIn(answer.request_id, done)
+                elif answer.ran is Ran.YES:
+                    self.assertEqual(answer.effects, 1)
+
+    @virtual_time
+    async def test_without_a_fault_every_try_reports_the_one_effect(self) -> None:
+        world = await walk({})
+        self.assertEqual([answer.ran for answer in world.answers], [Ran.YES] * 5)
+        self.check(world, {})
+
+    @virtual_time
+    async def test_a_fault_at_each_step(self) -> None:
+        for step, fault in itertools.product(range(14), Fault):
+            plan = {step: fault}
+            world = await walk(plan)
+            self.check(world, plan)
+            with self.subTest(plan=plan, answers=world.answers):
+                self.assertIsNotNone(world.answers[-1].ran)
+                if fault is Fault.CUT_BEFORE and step not in (3,):
+                    self.assertEqual(world.answers[-1].ran, Ran.YES)
+
+    @virtual_time
+    async def test_faults_at_each_pair_of_steps(self) -> None:
+        for first, second in itertools.combinations(range(12), 2):
+            for faults in itertools.product(Fault, repeat=2):
+                plan = {first: faults[0], second: faults[1]}
+                self.check(await walk(plan), plan)
--- a/auburncart/coordination/tests/test_search.py
+++ b/auburncart/coordination/tests/test_search.py
@@ -69,7 +69,8 @@
     async def test_repeated_key_takes_effect_once(self) -> None:
         site = Site()
         deadline = asyncio.get_running_loop().time() + 1.0
-        order = OrderRequest("r1", "key-1", "ladera", "closure", "shard-01", "fix net", deadline)
+        key = "00000000-03e8-7000-8000-000000000001"
+        order = OrderRequest("r1", key, "ladera", "closure", "shard-01", "fix net", deadline)
         first = (await site.orders.order(order)).ok
         second = (await site.orders.order(order._replace(request_id="r2"))).ok
         effects = [effect for model in site.models.values() for effect in model.effects]
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -6,7 +6,7 @@
 
 from auburncart.coordination.batching import Batching
 from auburncart.coordination.interfaces import UpstreamConnection, UpstreamDialer
-from auburncart.coordination.job import Job
+from auburncart.coordination.job import Job, OrderJob
 from auburncart.coordination.limits import ConnectionLimit
 from auburncart.coordination.observer import Observer
 from auburncart.coordination.quarantine import Quarantine
@@ -67,6 +67,7 @@
         self._quarantine = quarantine
         self._observer = observer
         self._queues: dict[Rank, deque[Job]] = {rank: deque() for rank in Rank}
+        self._orders: deque[OrderJob] = deque()
         self._idle: deque[asyncio.Future[None]] = deque()
         self._tasks: set[asyncio.Task[None]] = set()
         self._cancels: set[asyncio.Task[None]] = set()
@@ -124,10 +125,7 @@
     def submit(self, job: Job) -> None:
         """Put a job into the queue and see that a connection takes it."""
         self._queues[job.rank].append(job)
-        if self._idle:
-            self._idle.popleft().set_result(None)
-        elif self.connections < self._limit.connections(self._replica):
-            self._open()
+        self._wake()
 
     def cancel(self, job: Job) -> None:
         """Forget a job; if nobody waits for its request any more, tell the upstream."""
@@ -139,15 +137,15 @@
             task.add_done_callback(self._cancels.discard)
 
     async def order(self, order: UpstreamOrder) -> OrderReply:
-        """Send an order over a connection of its own.
+        """Send an order once, over one of this VM's connections, before any sub-query.
 
-        :raises UpstreamError: no matching reply.
+        :raises UpstreamError: no matching reply before the deadline; ``sent`` tells whether the
+            order may have arrived.
         """
-        connection = await self._dialer.connect(self._replica)
-        try:
-            return await connection.order(order)
-        finally:
-            await connection.close()
+        job = OrderJob(order)
+        self._orders.append(job)
+        self._wake()
+        return await job.reply()
 
     async def close(self) -> None:
         """End all connections; jobs at work fail."""
@@ -156,6 +154,12 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _wake(self) -> None:
+        if self._idle:
+            self._idle.popleft().set_result(None)
+        elif self.connections < self._limit.connections(self._replica):
+            self._open()
+
     def _open(self) -> None:
         task = asyncio.create_task(self._serve(), name=f"upstream {self.address}")
         self._tasks.add(task)
@@ -171,13 +175,18 @@
         try:
             while self.connections <= self._limit.connections(self._replica):
                 jobs = await self._next_jobs()
-                connection = await self._exchange(connection, jobs)
+                if isinstance(jobs, OrderJob):
+                    connection = await self._carry_out(connection, jobs)
+                else:
+                    connection = await self._exchange(connection, jobs)
         finally:
             if connection is not None:
                 await connection.close()
 
-    async def _next_jobs(self) -> tuple[Job, ...]:
+    async def _next_jobs(self) -> tuple[Job, ...] | OrderJob:
         while True:
+            if self._orders:
+                return self._orders.popleft()
             jobs = self._take()
             if jobs:
                 return jobs
@@ -222,6 +231,33 @@
                 jobs.append(job)
         return jobs
 
+    async def _carry_out(
+        self, kept: UpstreamConnection | None, job: OrderJob
+    ) -> UpstreamConnection | None:
+        # A kept connection may have been closed by the other side: its error would say nothing
+        # of whether the order arrived.
+        if not job.waited_for:
+            return kept
+        if kept is not None:
+            await kept.close()
+        connection: UpstreamConnection | None = None
+        try:
+            connection = await self._dialer.connect(self._replica)
+            if job.waited_for and asyncio.get_running_loop().time() < job.order.deadline:
+                job.sent = True
+                job.answer(await connection.order(job.order))
+            return connection
+        except UpstreamError as error:
+            job.fail(error)
+            if connection is not None:
+                await connection.close()
+            return None
+        except asyncio.CancelledError:
+            job.fail(UpstreamError("closed", step="send", peer=self.address, sent=job.sent))
+            if connection is not None:
+                await connection.close()
+            raise
+
     async def _exchange(
         self, connection: UpstreamConnection | None, jobs: tuple[Job, ...]
     ) -> UpstreamConnection | None:
--- a/auburncart/daemon/entry.py
+++ b/auburncart/daemon/entry.py
@@ -1,16 +1,21 @@
 """The daemon on an entry VM: it puts the layers together and runs them."""
 
 import asyncio
+import random
 import signal
 import sys
+import time
+import uuid
 
 import eliot
 
 from auburncart.coordination import (
     Catalogue,
+    ClaimHolder,
     Fleet,
     OrderService,
     SearchService,
+    StoredClaims,
     TableKeeper,
     Upstream,
 )
@@ -25,6 +30,8 @@
 
 __all__ = ["Entry", "run_entry"]
 
+ORDERS_SECONDS = 5.0
+
 
 class Entry:
     """One entry VM's process: :meth:`start` and :meth:`stop` are called once each.
@@ -44,15 +51,8 @@
         self._searches = SearchService(
             self._catalogue, self._tables, self._fleet, self._policies, self._metrics
         )
-        self._orders = OrderService(
-            settings.name,
-            self._store,
-            self._catalogue,
-            self._tables,
-            self._fleet,
-            self._policies.choice,
-            self._metrics,
-        )
+        self._claims = StoredClaims(self._store)
+        self._orders = self._make_orders()
         self._servers: list[CallerServer] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -86,12 +86,27 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._orders.close(ORDERS_SECONDS)
+        await self._claims.close()
         await self._fleet.close()
         self._store.close()
 
     def _make_policies(self) -> Policies:
         return baseline_policies(self._settings.places, self._settings.connecting_vms)
 
+    def _make_orders(self) -> OrderService:
+        process = f"{self._settings.name}/{uuid.uuid4().hex[:12]}"
+        rng = random.Random(process)
+        return OrderService(
+            ClaimHolder(process, self._claims, self._metrics, rng),
+            self._catalogue,
+            self._tables,
+            self._fleet,
+            self._policies.choice,
+            self._metrics,
+            epoch=time.time() - asyncio.get_running_loop().time(),
+        )
+
     def _make_upstream(self, replica: Replica) -> Upstream:
         return Upstream(
             replica,
--- a/auburncart/exception.py
+++ b/auburncart/exception.py
@@ -68,7 +68,14 @@
 
 
 class StoreUnavailableError(AuburncartError):
-    """The platform's store gave no reply; a write may have taken effect all the same."""
+    """The platform's store gave no reply; a write may have taken effect all the same.
+
+    :param sent: whether the call may have reached the store.
+    """
+
+    def __init__(self, reason: str, *, step: str = "", peer: str = "", sent: bool = True) -> None:
+        super().__init__(reason, step=step, peer=peer)
+        self.sent = sent
 
 
 class StoreConflictError(AuburncartError):
--- a/auburncart/protocol/caller.py
+++ b/auburncart/protocol/caller.py
@@ -8,6 +8,15 @@
     200 {"request_id": "...", "snapshot": "s7", "hits": [...],
          "coverage": {"asked": 52, "answered": 52, "complete": true, "missing": []}}
 
+An order carries an idempotency key, a UUID of version 7 that its caller makes once and repeats
+with ``"repeat": true``::
+
+    POST /v1/order
+    {"customer": "ladera", "kind": "closure", "shard": "net-12", "order": "close the road",
+     "key": "018f3a5e-7c00-7abc-8def-0123456789ab", "deadline_ms": 5000}
+
+    200 {"request_id": "...", "key": "...", "ran": "yes", "outcome": ..., "repeated": false}
+
 A refusal states whether the request ran::
 
     429 {"error": "overloaded", "reason": "...", "ran": "no", "step": "queue", "retry_after": 1.5}
@@ -17,6 +26,7 @@
 
 import msgspec
 
+from auburncart.coordination.idempotency import canonical_key
 from auburncart.exception import InputError
 from auburncart.state import (
     OrderAnswer,
@@ -47,6 +57,7 @@
 STATUS_BY_CODE = {
     RefusalCode.BAD_REQUEST: 400,
     RefusalCode.CONFLICT: 409,
+    RefusalCode.EXPIRED: 410,
     RefusalCode.TOO_LARGE: 413,
     RefusalCode.OVERLOADED: 429,
     RefusalCode.UNAVAILABLE: 503,
@@ -76,6 +87,7 @@
     order: str
     deadline_ms: int
     request_id: NotRequired[str]
+    repeat: NotRequired[bool]
 
 
 def decode_search(body: bytes, request_id: str, now: float) -> SearchRequest:
@@ -117,12 +129,13 @@
     _check_text(fields["order"], "order", MAX_QUERY_LENGTH)
     return OrderRequest(
         _name(fields.get("request_id", request_id), "request_id"),
-        _name(fields["key"], "key"),
+        canonical_key(fields["key"]),
         _name(fields["customer"], "customer"),
         _name(fields["kind"], "kind"),
         _name(fields["shard"], "shard"),
         fields["order"],
         now + _seconds(fields["deadline_ms"]),
+        fields.get("repeat", False),
     )
 
 
--- a/auburncart/protocol/platform.py
+++ b/auburncart/protocol/platform.py
@@ -12,7 +12,16 @@
 
 from auburncart.coordination.interfaces import Key
 from auburncart.exception import ProtocolError
-from auburncart.state import Claim, Condition, Member, Replica, Shard, ShardMap, TableDocument
+from auburncart.state import (
+    Claim,
+    ClaimBucket,
+    Condition,
+    Member,
+    Replica,
+    Shard,
+    ShardMap,
+    TableDocument,
+)
 
 __all__ = [
     "MAX_VALUE_BYTES",
@@ -112,8 +121,13 @@
     return msgspec.convert(fields, type=TableDocument)
 
 
-def _decode_claim(fields: Any) -> Claim:
-    return msgspec.convert(fields, type=Claim)
+def _encode_claims(bucket: ClaimBucket) -> dict[str, Any]:
+    return {"period": bucket.period, "claims": list(bucket.claims.values())}
+
+
+def _decode_claims(fields: dict[str, Any]) -> ClaimBucket:
+    claims = msgspec.convert(fields["claims"], type=list[Claim])
+    return ClaimBucket(int(fields["period"]), {claim.key: claim for claim in claims})
 
 
 def _plain(value: Any) -> Any:
@@ -123,5 +137,5 @@
 CODECS: dict[str, _Codec] = {
     "table": _Codec(_plain, _decode_table),
     "shards": _Codec(_encode_map, _decode_map),
-    "claims": _Codec(_plain, _decode_claim),
+    "claims": _Codec(_encode_claims, _decode_claims),
 }
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -3,7 +3,17 @@
 from auburncart.state.fact import FACTS, QueryLoss, TableNews
 from auburncart.state.failure import Failure, FailureCode, Ran, Refusal, RefusalCode, Step
 from auburncart.state.member import Condition, Member
-from auburncart.state.order import Claim, ClaimState, OrderAnswer, OrderRequest
+from auburncart.state.order import (
+    Claim,
+    ClaimBucket,
+    ClaimChange,
+    ClaimState,
+    ClaimStep,
+    ClaimVerdict,
+    OrderAnswer,
+    OrderRequest,
+    Verdict,
+)
 from auburncart.state.search import (
     Coverage,
     Hit,
@@ -30,7 +40,11 @@
     "Batch",
     "BatchReply",
     "Claim",
+    "ClaimBucket",
+    "ClaimChange",
     "ClaimState",
+    "ClaimStep",
+    "ClaimVerdict",
     "Condition",
     "Coverage",
     "FACTS",
@@ -61,6 +75,7 @@
     "TableNews",
     "UpstreamCondition",
     "UpstreamOrder",
+    "Verdict",
     "Work",
     "coverage_of",
     "find_row",
--- a/auburncart/state/failure.py
+++ b/auburncart/state/failure.py
@@ -35,6 +35,7 @@
 
     BAD_REQUEST = "bad_request"
     CONFLICT = "conflict"
+    EXPIRED = "expired"
     TOO_LARGE = "too_large"
     OVERLOADED = "overloaded"
     UNAVAILABLE = "unavailable"
--- a/auburncart/state/order.py
+++ b/auburncart/state/order.py
@@ -5,15 +5,29 @@
 
 from auburncart.state.failure import Ran
 
-__all__ = ["Claim", "ClaimState", "OrderAnswer", "OrderRequest"]
+__all__ = [
+    "Claim",
+    "ClaimBucket",
+    "ClaimChange",
+    "ClaimState",
+    "ClaimStep",
+    "ClaimVerdict",
+    "OrderAnswer",
+    "OrderRequest",
+    "Verdict",
+]
 
 
 class ClaimState(Enum):
-    """How far a claimed order has come."""
+    """How far a claimed order has come.
+
+    Only a ``RELEASED`` order may be claimed by another try: its holder gave it back unsent.
+    """
 
     SENDING = "sending"
     DONE = "done"
-    NOT_RUN = "not_run"
+    REJECTED = "rejected"
+    RELEASED = "released"
     UNKNOWN = "unknown"
 
 
@@ -23,7 +37,7 @@
     :param key: idempotency key.
     :param digest: digest of the order's customer, kind, shard and body.
     :param state: how far the order has come.
-    :param holder: nonce of the try that holds the claim.
+    :param holder: nonce of the try that holds the claim, unique among all tries.
     :param outcome: the upstream's result, None while it is not known.
     """
 
@@ -34,16 +48,68 @@
     outcome: Any = None
 
 
+class ClaimBucket(NamedTuple):
+    """The claims of one stored object.
+
+    :param period: number of the period in which the keys were made; it never decreases.
+    :param claims: claims by idempotency key.
+    """
+
+    period: int
+    claims: dict[str, Claim]
+
+
+class ClaimStep(Enum):
+    """What a holder wants to change."""
+
+    CLAIM = "claim"
+    FINISH = "finish"
+    RELEASE = "release"
+
+
+class ClaimChange(NamedTuple):
+    """A change of one claim, which may be applied any number of times.
+
+    :param step: what is to be changed.
+    :param claim: the claim as it is to be after the change.
+    """
+
+    step: ClaimStep
+    claim: Claim
+
+
+class Verdict(Enum):
+    """How a change ended."""
+
+    HELD = "held"
+    FOUND = "found"
+    EXPIRED = "expired"
+    FULL = "full"
+
+
+class ClaimVerdict(NamedTuple):
+    """The stored claim after a change.
+
+    :param verdict: ``HELD`` if the claim belongs to the holder that asked, ``FOUND`` if to
+        another, ``EXPIRED`` if claims of that age are no longer kept, ``FULL`` if there is no room.
+    :param claim: the stored claim, None for the last two.
+    """
+
+    verdict: Verdict
+    claim: Claim | None = None
+
+
 class OrderRequest(NamedTuple):
     """A work order or consent, which takes effect at most once.
 
     :param request_id: identifier of this try; the answer repeats it.
-    :param key: idempotency key, the same for every repeat of the same order.
+    :param key: idempotency key, a UUID of version 7, the same for every repeat of the order.
     :param customer: customer on whose account the order runs.
     :param kind: kind of work, a row of the table.
     :param shard: shard that carries the order out.
     :param body: the order itself, passed to the upstream as it is.
     :param deadline: loop time in seconds.
+    :param repeat: whether the caller has sent this key before.
     """
 
     request_id: str
@@ -53,6 +119,7 @@
     shard: str
     body: str
     deadline: float
+    repeat: bool = False
 
 
 class OrderAnswer(NamedTuple):
--- a/auburncart/tests/site.py
+++ b/auburncart/tests/site.py
@@ -1,14 +1,17 @@
 """A small site of fakes on virtual time, for tests of the whole decision path."""
 
 import asyncio
+import random
 
 from auburncart.coordination import (
     Catalogue,
+    ClaimHolder,
     Fleet,
     OrderService,
     Policies,
     SearchService,
     SilentObserver,
+    StoredClaims,
     TableKeeper,
     Upstream,
     baseline_policies,
@@ -62,14 +65,15 @@
         self.searches = SearchService(
             self.catalogue, self.tables, self.fleet, self.policies, self.observer
         )
+        self.claims = StoredClaims(self.store)
         self.orders = OrderService(
-            "vm1",
-            self.store,
+            ClaimHolder("vm1", self.claims, self.observer, random.Random(1)),
             self.catalogue,
             self.tables,
             self.fleet,
             self.policies.choice,
             self.observer,
+            epoch=0.0,
         )
 
     async def close(self) -> None:
