--- a/auburncart/command/request.py
+++ b/auburncart/command/request.py
@@ -10,7 +10,7 @@
 from auburncart.coordination.idempotency import make_key
 from auburncart.exception import AuburncartError
 
-__all__ = ["order", "post", "search"]
+__all__ = ["new_key", "order", "post", "search"]
 
 SLACK_SECONDS = 5.0
 EXIT_NOT_ANSWERED = 1
@@ -65,7 +65,8 @@
     :param customer: customer on whose account it runs.
     :param kind: kind of work.
     :param shard: shard that carries it out.
-    :param key: idempotency key, a UUID of version 7; a new one is made and printed without it.
+    :param key: idempotency key, a UUID of version 7; a new one is made and printed where none is
+        given. Repeat the same order only with the same key.
     :param repeat: say that an order with this key was sent before.
     :param deadline_ms: milliseconds to wait for the outcome.
     """
@@ -73,19 +74,18 @@
         "customer": customer,
         "kind": kind,
         "shard": shard,
-        "key": key or _new_key(),
+        "key": key or new_key(),
         "repeat": repeat,
         "order": text,
         "deadline_ms": deadline_ms,
     }
-    if not key:
-        sys.stderr.write(f"key {body['key']}\n")
     status, reply = post(to, "/v1/order", body, deadline_ms / 1000.0)
     sys.stdout.write(reply + "\n")
     return 0 if status == 200 and '"ran":"yes"' in reply else EXIT_NOT_ANSWERED
 
 
-def _new_key() -> str:
+def new_key() -> str:
+    """Return a new idempotency key."""
     return make_key(time.time(), secrets.randbits(80))
 
 
--- a/auburncart/coordination/holder.py
+++ b/auburncart/coordination/holder.py
@@ -92,16 +92,19 @@
         """Give back the claim of an order that was not sent, so that a repeat may send it."""
         await self._settled(_release(claim), deadline)
 
-    async def close(self, until: float) -> None:
+    async def close(self, until: float) -> int:
         """Wait for the claims that are not settled yet, then give them up.
 
         :param until: loop time in seconds.
+        :return: number of claims given up.
         """
         if self._tasks:
             left = max(0.0, until - asyncio.get_running_loop().time())
             await asyncio.wait(self._tasks, timeout=left)
+        left = len(self._tasks)
         for task in self._tasks:
             task.cancel()
+        return left
 
     async def _settled(self, change: ClaimChange, deadline: float) -> None:
         task = self._settle(change)
--- a/auburncart/coordination/order.py
+++ b/auburncart/coordination/order.py
@@ -87,16 +87,18 @@
         return await asyncio.shield(task)
 
     async def close(self, seconds: float) -> int:
-        """Wait for the orders at work and for their outcomes to be stored.
+        """Wait for the orders at work and for their outcomes to be stored, then end the rest.
 
         :param seconds: most seconds to wait.
-        :return: number of orders that were not waited for.
+        :return: number of orders that were ended.
         """
         until = asyncio.get_running_loop().time() + seconds
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=seconds)
-        await self._holder.close(until)
-        return self.at_work
+        left = len(self._tasks)
+        for task in self._tasks:
+            task.cancel()
+        return left + await self._holder.close(until)
 
     def _row(self, request: OrderRequest) -> Row | None:
         table = self._tables.table
--- a/auburncart/coordination/tests/test_order_steps.py
+++ b/auburncart/coordination/tests/test_order_steps.py
@@ -85,8 +85,6 @@
 
     async def close(self) -> None:
         for service in self.services.values():
-            for task in service._tasks:
-                task.cancel()
             await service.close(0.0)
         for part in self.parts:
             await part.close()
--- a/auburncart/exception.py
+++ b/auburncart/exception.py
@@ -2,12 +2,14 @@
 
 __all__ = [
     "AuburncartError",
+    "BodySizeError",
     "InputError",
     "LinkError",
     "ProtocolError",
     "SettingsError",
     "StoreConflictError",
     "StoreUnavailableError",
+    "TableConflictError",
     "UpstreamError",
 ]
 
@@ -38,6 +40,10 @@
     """A caller's request, a table or a file does not have the expected form."""
 
 
+class BodySizeError(InputError):
+    """A caller's request is larger than an entry VM takes."""
+
+
 class SettingsError(InputError):
     """A settings file has faults; ``faults`` names all of them."""
 
@@ -80,3 +86,14 @@
 
 class StoreConflictError(AuburncartError):
     """A conditional write found another version than the one it named; it did not take effect."""
+
+
+class TableConflictError(AuburncartError):
+    """The table was changed since the version that a proposal is based on; nothing was written.
+
+    :param changes: one line for each change that the proposal does not know.
+    """
+
+    def __init__(self, reason: str, *, changes: tuple[str, ...] = ()) -> None:
+        super().__init__(reason, step="apply")
+        self.changes = changes
