Store outages: one follow loop with jitter, and no call to a store known to be down

Change: coordination/follow.py serves table and shard map; coordination/guard.py lets one call at a time through after two failures in a row, and refuses the rest with sent=False, so that 'ran: no' costs no repair; values of another form are ProtocolError, which is an answer. Ruled out: one call of the whole fleet by an owner, as long as backed-off calls stay below a tenth of the store's reads at today's size.

--- a/auburncart/coordination/catalogue.py
+++ b/auburncart/coordination/catalogue.py
@@ -1,16 +1,15 @@
 """The shard map in force, from the platform's store."""
 
 import asyncio
+import random
 
+from auburncart.coordination.follow import follow
 from auburncart.coordination.interfaces import Key, Store
-from auburncart.exception import StoreUnavailableError
 from auburncart.state import ShardMap
 
 __all__ = ["SHARD_MAP", "Catalogue"]
 
 SHARD_MAP: Key[ShardMap] = Key("shards", "current")
-WATCH_SECONDS = 20.0
-RETRY_SECONDS = 1.0
 
 
 class Catalogue:
@@ -40,15 +39,9 @@
         self._arrived.set()
         return True
 
-    async def follow(self, store: Store) -> None:
-        """Watch the store and put each new shard map in force; runs until cancelled."""
-        etag = ""
-        while True:
-            try:
-                stored = await store.watch(SHARD_MAP, etag, WATCH_SECONDS)
-            except StoreUnavailableError:
-                await asyncio.sleep(RETRY_SECONDS)
-                continue
-            if stored is not None:
-                etag = stored.etag
-                self.install(stored.value)
+    async def follow(self, store: Store, rng: random.Random) -> None:
+        """Watch the store and put each new shard map in force; runs until cancelled.
+
+        :param rng: source of the jitter between failed tries.
+        """
+        await follow(store, SHARD_MAP, self.install, rng)
--- a/auburncart/coordination/interfaces.py
+++ b/auburncart/coordination/interfaces.py
@@ -82,7 +82,8 @@
     """The platform's object store.
 
     Every call may raise :class:`~auburncart.exception.StoreUnavailableError`.
-    After that error a write may or may not have taken effect.
+    After that error a write may or may not have taken effect. A call that returns an object may
+    raise :class:`~auburncart.exception.ProtocolError`: the stored value has another form.
     """
 
     @abstractmethod
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -4,9 +4,11 @@
 import random
 import uuid
 
+from auburncart.coordination.backoff import Backoff
 from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.claims import StoredClaims
 from auburncart.coordination.fleet import Fleet
+from auburncart.coordination.guard import GuardedStore
 from auburncart.coordination.holder import ClaimHolder
 from auburncart.coordination.interfaces import Store, UpstreamDialer
 from auburncart.coordination.observer import Observer
@@ -54,7 +56,8 @@
         self._searches = SearchService(
             self._catalogue, self._tables, self._fleet, policies, observer
         )
-        self._claims = StoredClaims(store)
+        guarded = GuardedStore(store, Backoff(random.Random(f"{name}/store")))
+        self._claims = StoredClaims(guarded)
         self._orders = self._make_orders(epoch)
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -105,8 +108,10 @@
 
     def start(self) -> None:
         """Begin to follow the store, each object in a task of its own."""
-        self._tasks.append(asyncio.create_task(self._tables.follow(self._store), name="table"))
-        self._tasks.append(asyncio.create_task(self._catalogue.follow(self._store), name="shards"))
+        tables = self._tables.follow(self._store, random.Random(f"{self._name}/table"))
+        shards = self._catalogue.follow(self._store, random.Random(f"{self._name}/shards"))
+        self._tasks.append(asyncio.create_task(tables, name="table"))
+        self._tasks.append(asyncio.create_task(shards, name="shards"))
 
     async def stop(self) -> None:
         """End the tasks, the orders at work and all connections to upstreams."""
--- a/auburncart/coordination/table.py
+++ b/auburncart/coordination/table.py
@@ -1,16 +1,15 @@
 """The table in force on this VM."""
 
 import asyncio
+import random
 
+from auburncart.coordination.follow import follow
 from auburncart.coordination.interfaces import Key, Store
-from auburncart.exception import StoreUnavailableError
 from auburncart.state import Table, TableDocument
 
 __all__ = ["TABLE", "TableKeeper"]
 
 TABLE: Key[TableDocument] = Key("table", "current")
-WATCH_SECONDS = 20.0
-RETRY_SECONDS = 1.0
 
 
 class TableKeeper:
@@ -40,15 +39,9 @@
         self._arrived.set()
         return True
 
-    async def follow(self, store: Store) -> None:
-        """Watch the store and put each new table in force; runs until cancelled."""
-        etag = ""
-        while True:
-            try:
-                stored = await store.watch(TABLE, etag, WATCH_SECONDS)
-            except StoreUnavailableError:
-                await asyncio.sleep(RETRY_SECONDS)
-                continue
-            if stored is not None:
-                etag = stored.etag
-                self.install(stored.value)
+    async def follow(self, store: Store, rng: random.Random) -> None:
+        """Watch the store and put each new table in force; runs until cancelled.
+
+        :param rng: source of the jitter between failed tries.
+        """
+        await follow(store, TABLE, self.install, rng)
--- a/auburncart/transport/http.py
+++ b/auburncart/transport/http.py
@@ -38,6 +38,11 @@
         self._worker = Worker(f"http-{address}")
         self._http = HTTPConnection(host, int(port), timeout=connect_seconds)
 
+    @property
+    def connected(self) -> bool:
+        """Whether it is open and nothing has arrived on it, as far as this side can tell."""
+        return self._http.is_connected
+
     async def connect(self) -> None:
         """Open the connection.
 
--- a/auburncart/transport/store.py
+++ b/auburncart/transport/store.py
@@ -78,10 +78,7 @@
         if reply.status in (UNCHANGED, ABSENT):
             return None
         self._expect(reply, (FOUND,))
-        try:
-            return Stored(protocol.decode_value(key, reply.body), reply.headers.get("ETag", ""))
-        except ProtocolError as error:
-            raise self._unavailable(error.reason, error.step) from error
+        return Stored(protocol.decode_value(key, reply.body), reply.headers.get("ETag", ""))
 
     def _expect(self, reply: HttpReply, statuses: tuple[int, ...]) -> None:
         if reply.status not in statuses:
@@ -109,8 +106,11 @@
         return reply
 
     async def _connection(self) -> HttpConnection:
-        if self._kept:
-            return self._kept.pop()
+        while self._kept:
+            kept = self._kept.pop()
+            if kept.connected:
+                return kept
+            kept.close()
         connection = HttpConnection(self._address, CONNECT_SECONDS, protocol.MAX_VALUE_BYTES)
         await connection.connect()
         return connection
--- /dev/null
+++ b/auburncart/transport/tests/test_store.py
@@ -0,0 +1,42 @@
+"""The store over HTTP against a server that closes kept connections."""
+
+import asyncio
+import unittest
+
+from auburncart.coordination import TABLE
+from auburncart.standins.site import DEMO_TABLE
+from auburncart.transport.store import HttpStore
+
+REPLY = b'HTTP/1.1 200 OK\r\nETag: "1"\r\nContent-Length: 0\r\n\r\n'
+
+
+class KeptConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.closed = asyncio.Event()
+        self.requests = 0
+        self.server = await asyncio.start_server(self.answer_once, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.store = HttpStore(f"{host}:{port}")
+
+    async def asyncTearDown(self) -> None:
+        self.store.close()
+        self.server.close()
+        await self.server.wait_closed()
+
+    async def answer_once(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+        await reader.readexactly(length)
+        self.requests += 1
+        writer.write(REPLY)
+        await writer.drain()
+        writer.close()
+        await writer.wait_closed()
+        self.closed.set()
+
+    async def test_write_after_the_server_closed_the_kept_connection_uses_another(self) -> None:
+        for _ in range(3):
+            self.closed.clear()
+            self.assertEqual(await self.store.write(TABLE, DEMO_TABLE, '"0"'), '"1"')
+            await self.closed.wait()
+        self.assertEqual(self.requests, 3)
