Graceful shutdown: readiness off, lag waited out, requests in flight answered

Cause: SIGTERM closed the ports at once; what the balancer still sent was refused, kept connections were cut between two requests, and a request longer than 5 s was cut in its middle. Change: GET /v1/ready; coordination/shutdown.py counts requests in flight and takes the steps in order; after readiness is off each reply hands its connection back; a second signal or the bound ends it, cancels what is left (told 'ran: unknown') and the daemon exits with 4. A repeat refused by a port for its rank is no longer told 'ran: no'.

--- a/auburncart/command/entry.py
+++ b/auburncart/command/entry.py
@@ -10,9 +10,10 @@
 
 
 def entry(*, settings: Path) -> int:
-    """Run the daemon on an entry VM until SIGTERM.
+    """Run the daemon on an entry VM until SIGTERM, which lets it answer what is in flight.
+
+    A second SIGTERM ends it at once. Exit code 4 says that requests were cut off.
 
     :param settings: file of JSON with comments; ``auburncart check`` names its faults.
     """
-    asyncio.run(run_entry(load_entry_settings(settings)))
-    return 0
+    return asyncio.run(run_entry(load_entry_settings(settings)))
--- a/auburncart/command/main.py
+++ b/auburncart/command/main.py
@@ -1,7 +1,7 @@
 """The ``auburncart`` command.
 
 Exit codes: 0 done; 1 the answer is partial, the request was refused or its outcome is unknown;
-2 the input or settings have faults; 3 no connection.
+2 the input or settings have faults; 3 no connection; 4 a daemon ended and cut requests off.
 """
 
 import sys
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -15,6 +15,7 @@
 from auburncart.coordination.order import OrderService
 from auburncart.coordination.policies import Policies
 from auburncart.coordination.search import SearchService
+from auburncart.coordination.shutdown import Drain
 from auburncart.coordination.table import TableKeeper
 from auburncart.coordination.upstream import Upstream
 from auburncart.state import Replica
@@ -52,6 +53,7 @@
         self._observer = observer
         self._catalogue = Catalogue()
         self._tables = TableKeeper()
+        self._drain = Drain(self._prepared)
         self._fleet = Fleet(self._make_upstream)
         self._searches = SearchService(
             self._catalogue, self._tables, self._fleet, policies, observer
@@ -73,8 +75,13 @@
 
     @property
     def ready(self) -> bool:
-        """Whether a table and a shard map are in force, without which nothing is answered."""
-        return self._tables.table is not None and self._catalogue.current is not None
+        """Whether new requests should come here: a table and a shard map are in force."""
+        return self._drain.ready
+
+    @property
+    def drain(self) -> Drain:
+        """The requests in flight."""
+        return self._drain
 
     @property
     def tables(self) -> TableKeeper:
@@ -122,6 +129,9 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._fleet.close()
 
+    def _prepared(self) -> bool:
+        return self._tables.table is not None and self._catalogue.current is not None
+
     def _make_orders(self, epoch: float) -> OrderService:
         process = f"{self._name}/{uuid.uuid4().hex[:12]}"
         rng = random.Random(self._name)
--- /dev/null
+++ b/auburncart/coordination/shutdown.py
@@ -0,0 +1,140 @@
+"""Graceful shutdown: what is in flight, readiness, and the order of the steps."""
+
+import asyncio
+import contextlib
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from eliot import log_message
+
+__all__ = ["Drain", "FrontEnd", "Shutdown", "ShutdownTimes"]
+
+
+class FrontEnd(ABC):
+    """What callers are connected to."""
+
+    @abstractmethod
+    def hand_back(self) -> None:
+        """Close each connection after its next reply; requests are still taken."""
+
+    @abstractmethod
+    async def stop(self) -> None:
+        """Stop listening and end all connections."""
+
+
+class ShutdownTimes(NamedTuple):
+    """Times of a shutdown in seconds.
+
+    :param lag: time in which the balancer still sends requests after readiness is off.
+    :param bound: most time after that for the requests in flight.
+    """
+
+    lag: float
+    bound: float
+
+
+class Drain:
+    """Knows the requests in flight, and tells whether new ones should come here.
+
+    :param prepared: returns whether this VM has all that it needs to answer.
+    """
+
+    def __init__(self, prepared: Callable[[], bool]) -> None:
+        self._prepared = prepared
+        self._requests: set[asyncio.Task[object]] = set()
+        self._listeners: list[Callable[[], None]] = []
+        self._leaving = False
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def ready(self) -> bool:
+        """Whether new requests should come here."""
+        return self._prepared() and not self._leaving
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that were taken and not answered yet."""
+        return len(self._requests)
+
+    def leave(self) -> None:
+        """Ask for no more requests; those that come are served all the same."""
+        self._leaving = True
+        for call in self._listeners:
+            call()
+
+    def when_leaving(self, call: Callable[[], None]) -> None:
+        """Call ``call()`` when this VM begins to leave, for instance to tell the other VMs."""
+        self._listeners.append(call)
+
+    @contextlib.contextmanager
+    def request(self) -> Iterator[None]:
+        """Count the running task as a request for as long as the block runs."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._requests.add(task)
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._requests.discard(task)
+            if not self._requests:
+                self._idle.set()
+
+    async def idle(self) -> None:
+        """Wait until no request is in flight."""
+        await self._idle.wait()
+
+    def cut_off(self) -> int:
+        """End the requests in flight, whose outcome is then not known to their callers.
+
+        :return: their number.
+        """
+        for task in self._requests:
+            task.cancel()
+        return len(self._requests)
+
+
+class Shutdown:
+    """Takes one VM out of service; :meth:`run` is called once.
+
+    :param drain: the requests in flight.
+    :param front: what callers are connected to.
+    :param times: how long to wait.
+    """
+
+    def __init__(self, drain: Drain, front: FrontEnd, times: ShutdownTimes) -> None:
+        self._drain = drain
+        self._front = front
+        self._times = times
+        self._hurried = asyncio.Event()
+
+    def hurry(self) -> None:
+        """Wait for nothing more."""
+        self._hurried.set()
+
+    async def run(self) -> int:
+        """Turn readiness off, wait the lag out, let requests end, and stop.
+
+        :return: number of requests that were cut off.
+        """
+        self._drain.leave()
+        self._front.hand_back()
+        log_message(message_type="leaving", in_flight=self._drain.in_flight)
+        await self._unless_hurried(asyncio.sleep(self._times.lag))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._times.bound):
+                await self._unless_hurried(self._drain.idle())
+        cut_off = self._drain.cut_off()
+        await self._front.stop()
+        log_message(message_type="left", cut_off=cut_off)
+        return cut_off
+
+    async def _unless_hurried(self, wait) -> None:  # type: ignore[no-untyped-def]
+        tasks = [asyncio.ensure_future(wait), asyncio.create_task(self._hurried.wait())]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
--- a/auburncart/daemon/entry.py
+++ b/auburncart/daemon/entry.py
@@ -8,17 +8,21 @@
 import eliot
 
 from auburncart.coordination import Node
-from auburncart.coordination.gate import EveryRankGate, OneRankGate
+from auburncart.coordination.gate import EveryRankGate, OneRankGate, RankGate
 from auburncart.coordination.policies import Policies, baseline_policies
+from auburncart.coordination.shutdown import Shutdown, ShutdownTimes
 from auburncart.settings import EntrySettings
 from auburncart.state import Rank
 from auburncart.transport.loop import LoopBridge
 from auburncart.transport.metrics import MetricsObserver
 from auburncart.transport.store import HttpStore
 from auburncart.transport.upstream import HttpUpstreamDialer
-from auburncart.transport.web import CallerApplication, CallerServer
+from auburncart.transport.web import CallerApplication, CallerPorts, CallerServer
 
-__all__ = ["Entry", "run_entry"]
+__all__ = ["EXIT_CUT_OFF", "Entry", "run_entry"]
+
+EXIT_CUT_OFF = 4
+SETTLE_SECONDS = 5.0
 
 
 class Entry:
@@ -40,12 +44,13 @@
             self._metrics,
             epoch=time.time() - asyncio.get_running_loop().time(),
         )
-        self._servers: list[CallerServer] = []
+        self._ports = CallerPorts(())
+        self._shutdown: Shutdown | None = None
 
     @property
     def addresses(self) -> tuple[str, ...]:
         """Addresses that callers reach: the general one, then the urgent one."""
-        return tuple(server.address for server in self._servers)
+        return self._ports.addresses
 
     @property
     def ready(self) -> bool:
@@ -69,21 +74,49 @@
                 OneRankGate(self._node.tables, Rank.URGENT),
             ),
         )
+        servers = []
         for address, threads, gate in ports:
-            application = CallerApplication(
-                settings.name, bridge, gate, self._node.searches, self._node.orders, self._metrics
-            )
-            server = CallerServer(address, application, threads, bridge.time)
-            server.start()
-            self._servers.append(server)
+            application = self._make_application(bridge, gate)
+            servers.append(CallerServer(address, application, threads, bridge.time))
+            servers[-1].start()
+        self._ports = CallerPorts(tuple(servers))
+
+    async def shut_down(self) -> int:
+        """Leave without cutting a request off, then end every connection.
+
+        :return: number of requests and orders that had to be cut off all the same.
+        """
+        settings = self._settings
+        times = ShutdownTimes(settings.balancer_lag_seconds, settings.shutdown_seconds)
+        self._shutdown = Shutdown(self._node.drain, self._ports, times)
+        cut_off = await self._shutdown.run()
+        cut_off += await self._node.orders.close(0.0 if cut_off else SETTLE_SECONDS)
+        await self.stop()
+        return cut_off
+
+    def hurry(self) -> None:
+        """Let a shutdown that has begun wait for nothing more."""
+        if self._shutdown is not None:
+            self._shutdown.hurry()
 
     async def stop(self) -> None:
-        """Stop serving, then end every connection."""
-        for server in self._servers:
-            await asyncio.to_thread(server.stop)
+        """Stop serving at once, then end every connection."""
+        await self._ports.stop()
         await self._node.stop()
         self._store.close()
 
+    def _make_application(self, bridge: LoopBridge, gate: RankGate) -> CallerApplication:
+        node = self._node
+        return CallerApplication(
+            self._settings.name,
+            bridge,
+            gate,
+            node.searches,
+            node.orders,
+            self._metrics,
+            node.drain,
+        )
+
     def _make_policies(self) -> Policies:
         return baseline_policies(self._settings.places, self._settings.connecting_vms)
 
@@ -96,14 +129,25 @@
         eliot.to_file(open(log_file, "a", encoding="utf-8"))  # noqa: SIM115
 
 
-async def run_entry(settings: EntrySettings) -> None:
-    """Run an entry VM's daemon until it is told to stop by SIGTERM or SIGINT."""
+async def run_entry(settings: EntrySettings) -> int:
+    """Run an entry VM's daemon until it is told to stop by SIGTERM or SIGINT.
+
+    A second signal ends the shutdown at once.
+
+    :return: exit code.
+    """
     start_log(settings.log_file)
     stopped = asyncio.Event()
+    entry = Entry(settings)
+
+    def on_signal() -> None:
+        if stopped.is_set():
+            entry.hurry()
+        stopped.set()
+
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    entry = Entry(settings)
+        loop.add_signal_handler(number, on_signal)
     await entry.start()
     await stopped.wait()
-    await entry.stop()
+    return EXIT_CUT_OFF if await entry.shut_down() else 0
--- a/auburncart/settings/entry.py
+++ b/auburncart/settings/entry.py
@@ -12,6 +12,7 @@
 Address = Annotated[str, Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Count = Annotated[int, Field(ge=1)]
+Seconds = Annotated[float, Field(ge=0.0, le=3600.0)]
 
 
 class EntrySettings(NamedTuple):
@@ -27,6 +28,9 @@
     :param urgent_threads: threads of the urgent port.
     :param places: most searches at work at the same time.
     :param connecting_vms: number of VMs that share an upstream's connections.
+    :param balancer_lag_seconds: time in which the balancer still sends requests to this VM after
+        ``/v1/ready`` says 503.
+    :param shutdown_seconds: most time after that for the requests in flight.
     :param log_file: file for eliot's log, ``"-"`` for standard error, ``""`` for none.
     """
 
@@ -40,6 +44,8 @@
     urgent_threads: Count = 16
     places: Count = 32
     connecting_vms: Count = 9
+    balancer_lag_seconds: Seconds = 5.0
+    shutdown_seconds: Seconds = 30.0
     log_file: str = "-"
 
 
--- a/auburncart/transport/tests/test_web.py
+++ b/auburncart/transport/tests/test_web.py
@@ -13,6 +13,7 @@
 
 from auburncart.coordination import TableKeeper
 from auburncart.coordination.gate import EveryRankGate, OneRankGate, RankGate
+from auburncart.coordination.shutdown import Drain
 from auburncart.standins.site import DEMO_TABLE
 from auburncart.state import Coverage, OrderAnswer, Ran, Rank, SearchAnswer
 from auburncart.transport.loop import LoopBridge
@@ -48,6 +49,7 @@
         self.thread.start()
         self.bridge = LoopBridge(self.loop)
         self.service = StubService()
+        self.drain = Drain(lambda: True)
         self.pool = urllib3.PoolManager(timeout=LONG_SECONDS, retries=False)
         self.servers: list[CallerServer] = []
 
@@ -70,6 +72,7 @@
             self.service,
             self.service,
             MetricsObserver(),
+            self.drain,
         )
         server = CallerServer("127.0.0.1:0", application, threads, self.bridge.time, read_seconds)
         server.start()
--- a/auburncart/transport/web.py
+++ b/auburncart/transport/web.py
@@ -1,5 +1,6 @@
 """The HTTP front end for callers, by CherryPy."""
 
+import asyncio
 import itertools
 import math
 import threading
@@ -10,6 +11,7 @@
 
 from auburncart.coordination import OrderService, SearchService
 from auburncart.coordination.gate import RankGate
+from auburncart.coordination.shutdown import Drain, FrontEnd
 from auburncart.exception import BodySizeError, InputError
 from auburncart.protocol import caller as protocol
 from auburncart.state import (
@@ -27,7 +29,7 @@
 from auburncart.transport.metrics import MetricsObserver
 from auburncart.transport.reading import BODY_READ, ReadingServer
 
-__all__ = ["CallerApplication", "CallerServer"]
+__all__ = ["CallerApplication", "CallerPorts", "CallerServer"]
 
 MAX_HEADER_BYTES = 16 * 1024
 IDLE_SECONDS = 10
@@ -45,6 +47,7 @@
 
     :param name: name of this VM, the front part of the request ids that it makes.
     :param gate: decides which ranks this port takes.
+    :param drain: counts the requests in flight, and knows whether new ones should come here.
     """
 
     def __init__(
@@ -55,7 +58,9 @@
         searches: SearchService,
         orders: OrderService,
         metrics: MetricsObserver,
+        drain: Drain,
     ) -> None:
+        self._drain = drain
         self._name = name
         self._gate = gate
         self._bridge = bridge
@@ -86,6 +91,14 @@
         result = self._bridge.call(self._order(request))
         return _respond(result, protocol.encode_order_answer, request.request_id)
 
+    @cherrypy.expose
+    def ready(self) -> bytes:
+        """Answer ``GET /v1/ready``: 200 if new requests should come here, 503 if not."""
+        ready = self._drain.ready
+        cherrypy.response.status = 200 if ready else 503
+        cherrypy.response.headers["Content-Type"] = JSON
+        return b'{"ready":true}' if ready else b'{"ready":false}'
+
     @cherrypy.expose
     def metrics(self) -> bytes:
         """Answer ``GET /v1/metrics``."""
@@ -94,12 +107,17 @@
         return body
 
     async def _search(self, request: SearchRequest) -> Result[SearchAnswer, Refusal]:
-        refusal = self._gate.refusal(request.customer, request.kind)
-        return Error(refusal) if refusal else await self._searches.search(request)
+        with self._drain.request():
+            refusal = self._gate.refusal(request.customer, request.kind)
+            return Error(refusal) if refusal else await self._searches.search(request)
 
     async def _order(self, request: OrderRequest) -> Result[OrderAnswer, Refusal]:
-        refusal = self._gate.refusal(request.customer, request.kind)
-        return Error(refusal) if refusal else await self._orders.order(request)
+        with self._drain.request():
+            refusal = self._gate.refusal(request.customer, request.kind)
+            if refusal is None:
+                return await self._orders.order(request)
+            ran = Ran.UNKNOWN if request.repeat else Ran.NO
+            return Error(refusal._replace(ran=ran))
 
     def _request_id(self) -> str:
         return f"{self._name}-r{next(self._numbers)}"
@@ -154,12 +172,40 @@
         self._server.prepare()
         self._thread.start()
 
+    def hand_back(self) -> None:
+        """Close each connection after its next reply."""
+        self._server.keep_alive_conn_limit = 0
+
     def stop(self) -> None:
         """Stop listening and wait for the requests at work."""
         self._server.stop()
         self._thread.join()
 
 
+class CallerPorts(FrontEnd):
+    """All listening ports of one VM.
+
+    :param servers: one server for each port.
+    """
+
+    def __init__(self, servers: tuple[CallerServer, ...]) -> None:
+        self._servers = servers
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Addresses that the servers listen on, in their order."""
+        return tuple(server.address for server in self._servers)
+
+    def hand_back(self) -> None:
+        """Close each connection after its next reply."""
+        for server in self._servers:
+            server.hand_back()
+
+    async def stop(self) -> None:
+        """Stop listening, wait for the replies at work and end all connections."""
+        await asyncio.gather(*(asyncio.to_thread(server.stop) for server in self._servers))
+
+
 def _error_page(status: str, message: str, traceback: str, version: str) -> bytes:
     cherrypy.response.headers["Content-Type"] = JSON
     code = RefusalCode.BAD_REQUEST if status.startswith("4") else RefusalCode.FAILED
