--- a/auburncart/scenario/tests/real.py
+++ b/auburncart/scenario/tests/real.py
@@ -29,9 +29,13 @@
 
 
 class RealWorld(World):
-    """Starts processes and ends them by id."""
+    """Starts processes and ends them by id.
 
-    def __init__(self) -> None:
+    :param lag: seconds for which a VM that is told to end still serves.
+    """
+
+    def __init__(self, lag: float = 0.2) -> None:
+        self._lag = lag
         self._began = asyncio.get_running_loop().time()
         self._epoch = time.time()
         self._folder = tempfile.TemporaryDirectory()
@@ -163,6 +167,7 @@
             "general_address": self._addresses[name],
             "urgent_address": _free_address(),
             "platform_address": self._addresses["platform"],
+            "balancer_lag_seconds": self._lag,
             "log_file": "",
         }
         settings.write_text(json.dumps(fields))
