--- a/auburncart/coordination/__init__.py
+++ b/auburncart/coordination/__init__.py
@@ -2,7 +2,9 @@
 
 from auburncart.coordination.catalogue import SHARD_MAP, Catalogue
 from auburncart.coordination.change import Accepted, Author, Proposal, TableEditor
+from auburncart.coordination.claims import Claims, StoredClaims
 from auburncart.coordination.fleet import Fleet
+from auburncart.coordination.holder import ClaimHolder
 from auburncart.coordination.interfaces import (
     Key,
     Membership,
@@ -24,6 +26,8 @@
     "Accepted",
     "Author",
     "Catalogue",
+    "ClaimHolder",
+    "Claims",
     "Fleet",
     "Key",
     "Membership",
@@ -38,6 +42,7 @@
     "SilentObserver",
     "Store",
     "Stored",
+    "StoredClaims",
     "TABLE",
     "TableEditor",
     "TableKeeper",
--- a/auburncart/scenario/virtual.py
+++ b/auburncart/scenario/virtual.py
@@ -12,6 +12,7 @@
 from auburncart.scenario.world import (
     Outcome,
     World,
+    key_of,
     outcome_of_order,
     outcome_of_refusal,
     outcome_of_search,
@@ -130,12 +131,13 @@
         options = command.options
         request = OrderRequest(
             options.get("as", f"line{command.line}"),
-            options["key"],
+            key_of(options["key"], self._began),
             options.get("customer", "ladera"),
             options.get("kind", "closure"),
             options.get("shard", "shard-00"),
             options.get("text", "mend the net"),
             self._deadline(options),
+            options.get("repeat") == "yes",
         )
         node = self._node(command)
         result = await self._asked(command.words[0], node.orders.order(request))
@@ -146,7 +148,7 @@
     async def effects(self, key: str) -> int:
         """Return how often an order took effect."""
         done = [effect for model in self._models.values() for effect in model.effects]
-        return sum(effect.key == key for effect in done)
+        return sum(effect.key == key_of(key, self._began) for effect in done)
 
     async def table_version(self, vm: str) -> int:
         """Return the version of the table in force on a VM."""
