--- a/auburncart/command/main.py
+++ b/auburncart/command/main.py
@@ -18,14 +18,40 @@
 EXIT_NOT_REACHED = 3
 
 app = App(name="auburncart", help="A query tier over many shards.", version=__version__)
-app.command("auburncart.command.check:check", name="check")
-app.command("auburncart.command.demo:demo", name="demo")
-app.command("auburncart.command.entry:entry", name="entry")
-app.command("auburncart.command.request:order", name="order")
-app.command("auburncart.command.request:search", name="search")
-app.command("auburncart.command.scenario:scenario", name="scenario")
-app.command("auburncart.command.standin:app", name="standin")
-app.command("auburncart.command.table:app", name="table")
+app.command(
+    "auburncart.command.check:check",
+    name="check",
+    help="Name all faults of a settings file or a table.",
+)
+app.command(
+    "auburncart.command.demo:demo", name="demo", help="Run the main job in one process on loopback."
+)
+app.command("auburncart.command.entry:entry", name="entry", help="Run the daemon on an entry VM.")
+app.command(
+    "auburncart.command.request:order",
+    name="order",
+    help="Send an order, which takes effect at most once.",
+)
+app.command(
+    "auburncart.command.request:search",
+    name="search",
+    help="Send a search and print its answer with coverage.",
+)
+app.command(
+    "auburncart.command.scenario:scenario",
+    name="scenario",
+    help="Run a scripted scenario on virtual time.",
+)
+app.command(
+    "auburncart.command.standin:app",
+    name="standin",
+    help="Run a stand-in for the platform or an upstream.",
+)
+app.command(
+    "auburncart.command.table:app",
+    name="table",
+    help="Show and change the table of weights and limits.",
+)
 
 
 def main() -> None:
