A closed connection stays closed, and bytes that are no HTTP are an upstream's error

Cause: with a rogue upstream on loopback two faults came up. After a reply given up for its deadline the next request on the same connection waited for ever, for the thread had ended; and before the thread was our own the library would have opened a new socket for it in silence. Bytes that are no status line raised http.client.BadStatusLine, which nobody caught.

Ruled out: catching it in the connection's task, which would keep a broken connection.

--- a/auburncart/transport/http.py
+++ b/auburncart/transport/http.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 from collections.abc import Mapping
+from http.client import HTTPException
 from typing import NamedTuple
 
 from urllib3.connection import HTTPConnection
@@ -14,6 +15,8 @@
 
 __all__ = ["HttpConnection", "HttpReply"]
 
+BROKEN = (HTTPError, HTTPException, OSError, ValueError)  # what a broken reply may raise
+
 
 class HttpReply(NamedTuple):
     """Status, headers and body of a reply."""
@@ -37,6 +40,8 @@
         self._most_bytes = most_bytes
         self._worker = Worker(f"http-{address}")
         self._http = HTTPConnection(host, int(port), timeout=connect_seconds)
+        self._http.auto_open = 0  # a connection that was lost is never opened anew by a request
+        self._closed = False
 
     @property
     def connected(self) -> bool:
@@ -66,9 +71,11 @@
         :param seconds: time limit for each wait on the socket.
         :raises LinkError: no whole reply arrived.
         """
+        if self._closed:
+            raise LinkError("the connection is closed", step="send", peer=self._address)
         try:
             return await self._worker.run(self.request_here, method, path, body, headers, seconds)
-        except (HTTPError, OSError, ValueError) as error:
+        except BROKEN as error:
             self.close()
             reason = f"{type(error).__name__}: {error}"
             raise LinkError(reason, step="reply", peer=self._address) from error
@@ -97,6 +104,7 @@
 
     def close(self) -> None:
         """Shut the socket down, which also ends a call at work, and let the thread end."""
+        self._closed = True
         sock = self._http.sock
         if sock is not None:
             with contextlib.suppress(OSError):
--- /dev/null
+++ b/auburncart/transport/tests/test_upstream.py
@@ -0,0 +1,165 @@
+"""A connection to an upstream that answers late, wrongly or not at all, over real sockets."""
+
+import asyncio
+import json
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from auburncart.exception import UpstreamError
+from auburncart.state import Batch, Replica, SubQuery, UpstreamOrder
+from auburncart.transport.upstream import HttpUpstreamDialer
+
+LONG_SECONDS = 20.0
+Reply = Callable[[dict[str, Any]], bytes]
+
+
+def http(body: bytes, status: str = "200 OK") -> bytes:
+    return f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def reply(request: dict[str, Any], **changes: Any) -> bytes:
+    query = request["query"]
+    fields = {
+        "request_id": request["request_id"],
+        "snapshot": request["snapshot"],
+        "answers": [
+            {"id": query["id"], "shard": query["shard"], "hits": [{"text": query["text"]}]}
+        ],
+    }
+    return http(json.dumps({**fields, **changes}).encode())
+
+
+async def with_upstream(make: Reply, act: Callable[[Replica], Awaitable[Any]]) -> Any:
+    """Run an upstream that answers each request by ``make``, and something against it."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+                writer.write(make(json.loads(await reader.readexactly(length))))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    try:
+        return await act(Replica(f"{host}:{port}", "dc1"))
+    finally:
+        server.close()
+
+
+def batch(number: int = 1, seconds: float = LONG_SECONDS) -> Batch:
+    deadline = asyncio.get_running_loop().time() + seconds
+    sub = SubQuery(f"r{number}.1", "a", "s1", "closure", f"net {number}", deadline)
+    return Batch(f"vm1-{number}", "s1", deadline, (sub,))
+
+
+class MatchTest(unittest.TestCase):
+    def search(self, make: Reply) -> Any:
+        async def act(replica: Replica) -> Any:
+            connection = await HttpUpstreamDialer().connect(replica)
+            try:
+                return await connection.search(batch())
+            finally:
+                await connection.close()
+
+        return asyncio.run(with_upstream(make, act))
+
+    def test_matching_reply_is_the_answer(self) -> None:
+        answers = self.search(reply).answers
+        self.assertEqual(answers["r1.1"].hits, ({"text": "net 1"},))
+
+    def test_reply_to_another_request_is_no_answer(self) -> None:
+        with self.assertRaisesRegex(UpstreamError, "match"):
+            self.search(lambda request: reply(request, request_id="vm1-0"))
+
+    def test_other_snapshot_shard_or_sub_query_is_no_answer(self) -> None:
+        others = (
+            {"snapshot": "s0"},
+            {"answers": [{"id": "r1.1", "shard": "b", "hits": []}]},
+            {"answers": [{"id": "r0.1", "shard": "a", "hits": []}]},
+            {"answers": [{"id": "r1.1", "shard": "a"}]},
+            {"answers": []},
+        )
+        for changes in others:
+            with self.subTest(changes):
+                found = self.search(lambda request, changes=changes: reply(request, **changes))
+                self.assertEqual(found.answers, {})
+
+    def test_bytes_that_are_no_reply_are_errors_with_the_peer(self) -> None:
+        replies = {
+            "garbage": lambda request: b"\x00\xff\x00\r\n\r\n",
+            "cut off": lambda request: reply(request)[:-5],
+            "no JSON": lambda request: http(b"{"),
+            "other form": lambda request: http(b'{"request_id": 7}'),
+            "error status": lambda request: http(b"{}", "500 Oops"),
+            "too long": lambda request: http(b" " * (9 * 1024 * 1024)),
+        }
+        for name, make in replies.items():
+            with self.subTest(name), self.assertRaises(UpstreamError) as caught:
+
+                def cut(request: dict[str, Any], make: Reply = make) -> bytes:
+                    return make(request)
+
+                asyncio.run(asyncio.wait_for(self._short(cut), LONG_SECONDS))
+            self.assertTrue(caught.exception.peer)
+
+    async def _short(self, make: Reply) -> Any:
+        async def act(replica: Replica) -> Any:
+            connection = await HttpUpstreamDialer().connect(replica)
+            try:
+                return await connection.search(batch(seconds=0.5))
+            finally:
+                await connection.close()
+
+        return await with_upstream(make, act)
+
+
+class LateTest(unittest.TestCase):
+    def test_late_reply_never_answers_the_next_request(self) -> None:
+        """The first request is given up; a new connection carries the second."""
+
+        async def act(replica: Replica) -> list[Any]:
+            dialer = HttpUpstreamDialer()
+            first = await dialer.connect(replica)
+            with self.assertRaises(UpstreamError):
+                await first.search(batch(1, seconds=0.1))
+            with self.assertRaises(UpstreamError):
+                await first.search(batch(2))
+            second = await dialer.connect(replica)
+            try:
+                return list((await second.search(batch(2))).answers.values())
+            finally:
+                await second.close()
+
+        held: list[int] = []
+
+        def make(request: dict[str, Any]) -> bytes:
+            held.append(1)
+            return b"" if len(held) == 1 else reply(request)
+
+        (answer,) = asyncio.run(with_upstream(make, act))
+        self.assertEqual(answer.hits, ({"text": "net 2"},))
+
+    def test_order_whose_reply_is_lost_may_have_been_sent(self) -> None:
+        async def act(replica: Replica) -> None:
+            connection = await HttpUpstreamDialer().connect(replica)
+            deadline = asyncio.get_running_loop().time() + 0.2
+            await connection.order(UpstreamOrder("r1", "k", "a", "closure", "x", deadline))
+
+        with self.assertRaises(UpstreamError) as caught:
+            asyncio.run(with_upstream(lambda request: b"", act))
+        self.assertTrue(caught.exception.sent)
+
+    def test_upstream_that_is_not_there_was_sent_nothing(self) -> None:
+        async def act() -> None:
+            await HttpUpstreamDialer().connect(Replica("127.0.0.1:9", "dc1"))
+
+        with self.assertRaises(UpstreamError) as caught:
+            asyncio.run(act())
+        self.assertFalse(caught.exception.sent)
+        self.assertEqual(caught.exception.step, "connect")
