One VM writes each bucket of claims, so that writes do not grow with the orders

Owners by highest random weight, first of the data centres, then of the VMs in one; a question that fails is answered by writing directly, since a change may be applied twice and only the conditional write decides. An own claim that was given back is no longer reported as held.

--- a/auburncart/coordination/bucket.py
+++ b/auburncart/coordination/bucket.py
@@ -47,8 +47,8 @@
     found = bucket.claims.get(wanted.key)
     if not _may_change(found, change):
         assert found is not None
-        verdict = Verdict.HELD if found.holder == wanted.holder else Verdict.FOUND
-        return bucket, ClaimVerdict(verdict, found)
+        held = found.holder == wanted.holder and found.state is ClaimState.SENDING
+        return bucket, ClaimVerdict(Verdict.HELD if held else Verdict.FOUND, found)
     if found is None and len(bucket.claims) >= MOST_CLAIMS:
         return bucket, ClaimVerdict(Verdict.FULL)
     claims = {**bucket.claims, wanted.key: wanted}
--- a/auburncart/coordination/tests/test_order_steps.py
+++ b/auburncart/coordination/tests/test_order_steps.py
@@ -9,6 +9,7 @@
 from auburncart.coordination import (
     Catalogue,
     ClaimHolder,
+    Claims,
     Fleet,
     OrderService,
     SilentObserver,
@@ -17,12 +18,14 @@
     Upstream,
     baseline_policies,
 )
-from auburncart.standins.fakes import FakeDialer, FakeStore
+from auburncart.coordination.idempotency import place_of
+from auburncart.coordination.owner import OwnedClaims, owner_of
+from auburncart.standins.fakes import FakeDialer, FakeMembership, FakeNetwork, FakeStore
 from auburncart.standins.platform import PlatformModel
 from auburncart.standins.site import DEMO_TABLE, make_shard_map
 from auburncart.standins.upstream import UpstreamModel, UpstreamShape
-from auburncart.state import OrderRequest, Ran
-from auburncart.tests.steps import Fault, SteppedDialer, SteppedStore, Steps
+from auburncart.state import Member, OrderRequest, Ran
+from auburncart.tests.steps import Fault, SteppedBus, SteppedDialer, SteppedStore, Steps
 from auburncart.tests.virtual import virtual_time
 
 KEY = "00000000-03e8-7000-8000-000000000001"
@@ -31,6 +34,7 @@
 PATIENCE_SECONDS = 3.0
 HEALED_SECONDS = 60.0
 TRIES = ("vm1", "vm2", "vm1", "vm3")
+MEMBERS = tuple(Member(f"vm{number}", "dc1", 1) for number in range(1, 5))
 
 
 class Answer(NamedTuple):
@@ -44,7 +48,8 @@
 class World:
     """Some VMs over one platform and one upstream."""
 
-    def __init__(self, plan: dict[int, Fault]) -> None:
+    def __init__(self, plan: dict[int, Fault], *, owned: bool = False) -> None:
+        self.network = FakeNetwork() if owned else None
         self.steps = Steps(plan)
         self.platform = PlatformModel()
         shape = UpstreamShape("10.0.0.1:80", "s1", {SHARD: ()})
@@ -53,6 +58,9 @@
         self.services: dict[str, OrderService] = {}
         self.parts: list[Fleet | StoredClaims] = []
         self.answers: list[Answer] = []
+        if owned:
+            for member in MEMBERS:
+                self.service(member.address)
 
     @property
     def effects(self) -> int:
@@ -113,13 +121,20 @@
         tables.install(DEMO_TABLE)
         claims = StoredClaims(SteppedStore(vm, FakeStore(self.platform), self.steps))
         self.parts += [fleet, claims]
-        holder = ClaimHolder(vm, claims, observer, random.Random(vm))
+        holder = ClaimHolder(vm, self._owned(vm, claims), observer, random.Random(vm))
         return OrderService(holder, catalogue, tables, fleet, policies.choice, observer, epoch=0.0)
 
+    def _owned(self, vm: str, direct: StoredClaims) -> Claims:
+        if self.network is None:
+            return direct
+        own = next(member for member in MEMBERS if member.address == vm)
+        bus = SteppedBus(own, self.network, self.steps)
+        return OwnedClaims(direct, FakeMembership(own, MEMBERS), bus, lambda: ("dc1",))
 
-async def walk(plan: dict[int, Fault]) -> World:
+
+async def walk(plan: dict[int, Fault], *, owned: bool = False) -> World:
     """Send an order and its repeats under some faults, wait for all to heal, and repeat it."""
-    world = World(plan)
+    world = World(plan, owned=owned)
     for number, vm in enumerate(TRIES):
         await world.send(vm, number, repeat=number > 0)
     world.steps.heal()
@@ -164,3 +179,12 @@
             for faults in itertools.product(Fault, repeat=2):
                 plan = {first: faults[0], second: faults[1]}
                 self.check(await walk(plan), plan)
+
+    @virtual_time
+    async def test_faults_at_each_pair_of_steps_with_owners(self) -> None:
+        owner = owner_of(place_of(KEY).name, ("dc1",), FakeMembership(MEMBERS[0], MEMBERS))
+        self.assertNotEqual(owner.address, TRIES[0])
+        for first, second in itertools.combinations(range(14), 2):
+            for faults in itertools.product(Fault, repeat=2):
+                plan = {first: faults[0], second: faults[1]}
+                self.check(await walk(plan, owned=True), plan)
--- a/auburncart/state/order.py
+++ b/auburncart/state/order.py
@@ -9,6 +9,8 @@
     "Claim",
     "ClaimBucket",
     "ClaimChange",
+    "ClaimQuestion",
+    "ClaimReply",
     "ClaimState",
     "ClaimStep",
     "ClaimVerdict",
@@ -90,8 +92,9 @@
 class ClaimVerdict(NamedTuple):
     """The stored claim after a change.
 
-    :param verdict: ``HELD`` if the claim belongs to the holder that asked, ``FOUND`` if to
-        another, ``EXPIRED`` if claims of that age are no longer kept, ``FULL`` if there is no room.
+    :param verdict: ``HELD`` if the change was made, or the claim is the asking holder's to send;
+        ``FOUND`` if the claim stays as it was found, ``EXPIRED`` if claims of that age are no
+        longer kept, ``FULL`` if there is no room.
     :param claim: the stored claim, None for the last two.
     """
 
@@ -99,6 +102,27 @@
     claim: Claim | None = None
 
 
+class ClaimQuestion(NamedTuple):
+    """A change that another VM is asked to apply with its next write."""
+
+    change: ClaimChange
+
+
+class ClaimReply(NamedTuple):
+    """What became of a change that another VM was asked to apply.
+
+    :param verdict: the verdict, None if it is not known to be applied.
+    :param claim: the stored claim, if the verdict has one.
+    :param sent: whether the change may be applied although there is no verdict.
+    :param reason: why there is no verdict.
+    """
+
+    verdict: Verdict | None
+    claim: Claim | None = None
+    sent: bool = True
+    reason: str = ""
+
+
 class OrderRequest(NamedTuple):
     """A work order or consent, which takes effect at most once.
 
--- a/auburncart/tests/steps.py
+++ b/auburncart/tests/steps.py
@@ -7,10 +7,11 @@
 from typing import Any, TypeVar
 
 from auburncart.coordination import Key, Store, Stored, UpstreamConnection, UpstreamDialer
-from auburncart.exception import StoreUnavailableError, UpstreamError
+from auburncart.exception import LinkError, StoreUnavailableError, UpstreamError
+from auburncart.standins.fakes import FakeBus, FakeNetwork
 from auburncart.state import Batch, BatchReply, Member, OrderReply, Replica, UpstreamOrder
 
-__all__ = ["Fault", "SteppedDialer", "SteppedStore", "Steps"]
+__all__ = ["Fault", "SteppedBus", "SteppedDialer", "SteppedStore", "Steps"]
 
 T = TypeVar("T")
 PAUSE_SECONDS = 10.0
@@ -114,6 +115,27 @@
         return await self._steps.take(self._vm, call, lambda: StoreUnavailableError("cut"))
 
 
+class SteppedBus(FakeBus):
+    """A bus whose questions are steps of one VM; the asked VM goes on when the asking one ends."""
+
+    def __init__(self, own: Member, network: FakeNetwork, steps: Steps) -> None:
+        super().__init__(own, network)
+        self._steps = steps
+
+    async def ask(
+        self, member: Member, question: tuple[Any, ...], timeout: float
+    ) -> tuple[Any, ...]:
+        async def call() -> tuple[Any, ...]:
+            answer = asyncio.ensure_future(super(SteppedBus, self).ask(member, question, timeout))
+            try:
+                async with asyncio.timeout(timeout):
+                    return await asyncio.shield(answer)
+            except TimeoutError as error:
+                raise LinkError("no answer") from error
+
+        return await self._steps.take(self._own.address, call, lambda: LinkError("cut"))
+
+
 class SteppedDialer(UpstreamDialer):
     """A dialer whose calls, and those of its connections, are steps of one VM."""
 
