--- a/auburncart/coordination/catalogue.py
+++ b/auburncart/coordination/catalogue.py
@@ -17,6 +17,7 @@
 
     def __init__(self) -> None:
         self._current: ShardMap | None = None
+        self._slots = 0
         self._arrived = asyncio.Event()
 
     @property
@@ -24,6 +25,11 @@
         """The newest shard map, None before the first."""
         return self._current
 
+    @property
+    def slots(self) -> int:
+        """Number of slots of all replicas in force, 0 before the first shard map."""
+        return self._slots
+
     async def wait(self) -> None:
         """Wait until one is in force."""
         await self._arrived.wait()
@@ -36,6 +42,12 @@
         if self._current is not None and shard_map.version <= self._current.version:
             return False
         self._current = shard_map
+        replicas = {
+            replica.address: replica.slots
+            for shard in shard_map.shards.values()
+            for replica in shard.replicas
+        }
+        self._slots = sum(replicas.values())
         self._arrived.set()
         return True
 
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -54,6 +54,7 @@
         self._catalogue = Catalogue()
         self._tables = TableKeeper()
         self._drain = Drain(self._prepared)
+        policies.admission.follow(self._tables, self._catalogue)
         self._fleet = Fleet(self._make_upstream)
         self._searches = SearchService(
             self._catalogue, self._tables, self._fleet, policies, observer
--- a/auburncart/daemon/entry.py
+++ b/auburncart/daemon/entry.py
@@ -4,12 +4,13 @@
 import signal
 import sys
 import time
+import zlib
 
 import eliot
 
 from auburncart.coordination import Node
 from auburncart.coordination.gate import EveryRankGate, OneRankGate, RankGate
-from auburncart.coordination.policies import Policies, baseline_policies
+from auburncart.coordination.policies import Policies, default_policies
 from auburncart.coordination.shutdown import Shutdown, ShutdownTimes
 from auburncart.settings import EntrySettings
 from auburncart.state import Rank
@@ -118,7 +119,9 @@
         )
 
     def _make_policies(self) -> Policies:
-        return baseline_policies(self._settings.places, self._settings.connecting_vms)
+        return default_policies(
+            self._settings.connecting_vms, seed=zlib.crc32(self._settings.name.encode())
+        )
 
 
 def start_log(log_file: str) -> None:
