--- /dev/null
+++ b/auburncart/bench/site.py
@@ -0,0 +1,143 @@
+"""Sizes and load of a deployment, read from a data file."""
+
+import math
+from importlib import resources
+from pathlib import Path
+from typing import Annotated, Literal, NamedTuple
+
+from pydantic import Field
+
+from auburncart.exception import InputError
+from auburncart.protocol.document import read_document
+from auburncart.state import Rank, Row, Table, TableDocument
+
+__all__ = ["SITES", "DataCentre", "Group", "Kind", "Latency", "SiteFile", "load_site"]
+
+SITES = ("ladera", "leidslurett")
+Positive = Annotated[float, Field(gt=0)]
+Count = Annotated[int, Field(ge=1)]
+
+
+class DataCentre(NamedTuple):
+    """A data centre, its region and the number of its entry VMs."""
+
+    name: str
+    region: str
+    vms: Count
+
+
+class Latency(NamedTuple):
+    """Times one way over the network, in seconds."""
+
+    near_seconds: Positive
+    between_regions_seconds: Positive
+    client_seconds: Positive
+
+
+class Group(NamedTuple):
+    """Services of one shape; each service is one shard.
+
+    :param services: number of services.
+    :param replicas: number of replicas of each.
+    :param slots: requests that a replica works on at the same time.
+    :param connections: most connections to a replica.
+    :param connect_seconds: time of a new connection.
+    :param batch_limit: most sub-queries in one request.
+    :param request_seconds: median time of a request without its sub-queries.
+    :param sub_seconds: median time of each sub-query.
+    :param spread: standard deviation of the logarithm of a request's time.
+    """
+
+    name: str
+    services: Count
+    replicas: Count
+    slots: Count
+    connections: Count
+    connect_seconds: Positive
+    batch_limit: Count
+    request_seconds: Positive
+    sub_seconds: Positive
+    spread: Positive
+
+    @property
+    def mean_seconds(self) -> float:
+        """Mean time of a request with one sub-query."""
+        median = self.request_seconds + self.sub_seconds
+        return median * math.exp(self.spread**2 / 2)
+
+
+class Kind(NamedTuple):
+    """A kind of work and its arrivals.
+
+    :param share: part of all arrivals, from 0 to 1.
+    :param seconds: time from arrival to deadline.
+    :param weight: weight of its rows in the table.
+    :param customers: part of the kind's arrivals by customer.
+    """
+
+    kind: str
+    rank: Literal["urgent", "normal", "background"]
+    share: Positive
+    seconds: Positive
+    weight: Positive
+    customers: dict[str, float]
+
+
+class SiteFile(NamedTuple):
+    """A deployment.
+
+    :param load: arrivals in calm as a share of capacity.
+    :param places: searches at work at the same time on a VM, where a policy fixes their number.
+    """
+
+    name: str
+    data_centres: tuple[DataCentre, ...]
+    latency: Latency
+    groups: tuple[Group, ...]
+    kinds: tuple[Kind, ...]
+    load: Positive
+    places: Count
+
+    @property
+    def capacity(self) -> float:
+        """Searches per second that the busiest service takes, one sub-query in each request."""
+        return min(group.replicas * group.slots / group.mean_seconds for group in self.groups)
+
+    @property
+    def vms(self) -> int:
+        """Number of entry VMs."""
+        return sum(centre.vms for centre in self.data_centres)
+
+    @property
+    def table(self) -> TableDocument:
+        """The operators' table: one row for each customer and kind."""
+        rows = tuple(
+            Row(customer, kind.kind, Rank[kind.rank.upper()], kind.weight)
+            for kind in self.kinds
+            for customer in kind.customers
+        )
+        return TableDocument(Table(1, rows))
+
+    def one_way(self, left: str, right: str) -> float:
+        """Return the time one way in seconds between two data centres."""
+        regions = {centre.name: centre.region for centre in self.data_centres}
+        if regions[left] == regions[right]:
+            return self.latency.near_seconds
+        return self.latency.between_regions_seconds
+
+
+def load_site(name: str) -> SiteFile:
+    """Read a deployment by its name or from a file.
+
+    :param name: one of :data:`SITES`, or the path of a file of the same form.
+    :raises InputError: there is no such deployment, or its file has faults.
+
+    >>> load_site("ladera").vms
+    9
+    """
+    if name not in SITES and not Path(name).is_file():
+        raise InputError(f"no site {name!r}; known: {', '.join(SITES)}, or a file", step="bench")
+    if name not in SITES:
+        return read_document(Path(name), SiteFile)
+    with resources.as_file(resources.files("auburncart.bench") / "sites" / f"{name}.json") as path:
+        return read_document(path, SiteFile)
--- a/auburncart/command/main.py
+++ b/auburncart/command/main.py
@@ -18,6 +18,7 @@
 EXIT_NOT_REACHED = 3
 
 app = App(name="auburncart", help="A query tier over many shards.", version=__version__)
+app.command("auburncart.command.bench:app", name="bench")
 app.command("auburncart.command.check:check", name="check")
 app.command("auburncart.command.demo:demo", name="demo")
 app.command("auburncart.command.entry:entry", name="entry")
--- a/auburncart/coordination/choice.py
+++ b/auburncart/coordination/choice.py
@@ -1,6 +1,7 @@
 """Which replica a sub-query goes to."""
 
 from abc import ABC, abstractmethod
+from collections import Counter
 from collections.abc import Sequence
 
 from auburncart.coordination.upstream import Upstream
@@ -24,11 +25,12 @@
     """Takes the candidates in turn, whatever their condition; the baseline."""
 
     def __init__(self) -> None:
-        self._turn = 0
+        self._turns: Counter[str] = Counter()
 
     def choose(self, candidates: Sequence[Upstream], now: float) -> Upstream | None:
         """Return the next candidate in turn."""
         if not candidates:
             return None
-        self._turn += 1
-        return candidates[self._turn % len(candidates)]
+        first = candidates[0].address
+        self._turns[first] += 1
+        return candidates[self._turns[first] % len(candidates)]
--- a/auburncart/standins/fakes.py
+++ b/auburncart/standins/fakes.py
@@ -1,8 +1,8 @@
 """The stand-ins behind coordination's abstract base classes, without sockets or threads."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from typing import Any, TypeVar
+from collections.abc import Awaitable, Callable, Collection, Mapping
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 
@@ -21,7 +21,15 @@
 from auburncart.standins.upstream import UpstreamCrashError, UpstreamModel
 from auburncart.state import Batch, BatchReply, Member, OrderReply, Replica, UpstreamOrder
 
-__all__ = ["FakeBus", "FakeConnection", "FakeDialer", "FakeMembership", "FakeNetwork", "FakeStore"]
+__all__ = [
+    "FakeBus",
+    "Distance",
+    "FakeConnection",
+    "FakeDialer",
+    "FakeMembership",
+    "FakeNetwork",
+    "FakeStore",
+]
 
 T = TypeVar("T")
 
@@ -77,15 +85,31 @@
             raise StoreUnavailableError(str(error) or "no reply", step="store") from error
 
 
+class Distance(NamedTuple):
+    """How far an upstream is.
+
+    :param seconds: time one way over the network.
+    :param connect_seconds: time of a new connection.
+    """
+
+    seconds: float = 0.0005
+    connect_seconds: float = 0.006
+
+
 class FakeConnection(UpstreamConnection):
     """A connection to an :class:`UpstreamModel`.
 
     :param seconds: time one way over the network.
+    :param cut: addresses that nothing reaches for the time being.
     """
 
-    def __init__(self, model: UpstreamModel, seconds: float) -> None:
+    def __init__(
+        self, model: UpstreamModel, seconds: float, cut: Collection[str] = frozenset()
+    ) -> None:
         self._model = model
         self._seconds = seconds
+        self._cut = cut
+        self._start = model.starts
         self._open = True
 
     async def search(self, batch: Batch) -> BatchReply:
@@ -98,17 +122,18 @@
 
     async def close(self) -> None:
         """Let the connection go."""
-        if self._open:
-            self._open = False
+        if self._open and self._start == self._model.starts:
             self._model.disconnect()
+        self._open = False
 
     async def _exchange(self, call, deadline):  # type: ignore[no-untyped-def]
         address = self._model.shape.address
         try:
             async with asyncio.timeout_at(deadline):
-                await asyncio.sleep(self._seconds)
+                await self._travel()
+                self._check_start()
                 reply = await call
-                await asyncio.sleep(self._seconds)
+                await self._travel()
         except TimeoutError as error:
             raise UpstreamError(
                 "no reply before the deadline", step="reply", peer=address
@@ -119,6 +144,15 @@
             call.close()
         return reply
 
+    async def _travel(self) -> None:
+        await asyncio.sleep(self._seconds)
+        if self._model.shape.address in self._cut:
+            await asyncio.get_running_loop().create_future()
+
+    def _check_start(self) -> None:
+        if self._start != self._model.starts:
+            raise UpstreamCrashError("connection reset")
+
 
 class FakeDialer(UpstreamDialer):
     """Connects to models by address.
@@ -126,6 +160,7 @@
     :param models: models by address.
     :param seconds: time one way over the network.
     :param connect_seconds: time of a new connection.
+    :param distances: both times for those addresses for which they differ.
     """
 
     def __init__(
@@ -133,15 +168,17 @@
         models: dict[str, UpstreamModel],
         seconds: float = 0.0005,
         connect_seconds: float = 0.006,
+        distances: Mapping[str, Distance] | None = None,
     ) -> None:
         self._models = models
-        self._seconds = seconds
-        self._connect_seconds = connect_seconds
+        self._default = Distance(seconds, connect_seconds)
+        self._distances = distances or {}
         self.cut: set[str] = set()
 
     async def connect(self, replica: Replica) -> FakeConnection:
         """Open a connection."""
-        await asyncio.sleep(self._connect_seconds)
+        distance = self._distances.get(replica.address, self._default)
+        await asyncio.sleep(distance.connect_seconds)
         model = self._models.get(replica.address)
         if model is None or replica.address in self.cut:
             raise UpstreamError("no route", step="connect", peer=replica.address, sent=False)
@@ -151,11 +188,11 @@
             raise UpstreamError(
                 str(error), step="connect", peer=replica.address, sent=False
             ) from error
-        return FakeConnection(model, self._seconds)
+        return FakeConnection(model, distance.seconds, self.cut)
 
     async def cancel(self, replica: Replica, request_id: str) -> None:
         """Tell the model that nobody waits any more."""
-        await asyncio.sleep(self._seconds)
+        await asyncio.sleep(self._distances.get(replica.address, self._default).seconds)
         model = self._models.get(replica.address)
         if model is not None and replica.address not in self.cut:
             model.cancel(request_id)
--- a/auburncart/standins/upstream.py
+++ b/auburncart/standins/upstream.py
@@ -61,9 +61,10 @@
         self._random = random.Random(seed)
         self._slots = asyncio.Semaphore(shape.slots)
         self._snapshots = {shape.snapshot}
-        self._cancelled: dict[str, asyncio.Event] = {}
-        self._lost = asyncio.Event()
+        self._stops: dict[str, asyncio.Future[None]] = {}
+        self._alive = True
         self._condition = UpstreamCondition.READY
+        self._report: UpstreamCondition | None = None
         self._slow = 1.0
         self._crash_text = ""
         self.shards = dict(shape.shards)
@@ -73,6 +74,7 @@
         self.requests = 0
         self.sub_queries = 0
         self.crashes = 0
+        self.starts = 1
         self.effects: list[UpstreamOrder] = []
 
     @property
@@ -83,12 +85,20 @@
     @property
     def alive(self) -> bool:
         """Whether it takes connections and requests."""
-        return not self._lost.is_set()
+        return self._alive
+
+    @property
+    def _reported(self) -> UpstreamCondition:
+        return self._report or self._condition
 
     def set_condition(self, condition: UpstreamCondition) -> None:
         """Make it ready, cold, draining or shedding."""
         self._condition = condition
 
+    def set_report(self, condition: UpstreamCondition | None) -> None:
+        """Report this condition whatever is true; None to report the true one."""
+        self._report = condition
+
     def set_slow(self, factor: float) -> None:
         """Make each request take this many times as long."""
         self._slow = factor
@@ -103,13 +113,16 @@
 
     def kill(self) -> None:
         """Go down with everything at work."""
-        self._lost.set()
+        self._alive = False
+        for stop in self._stops.values():
+            _stop(stop)
 
     def restart(self) -> None:
         """Come back."""
-        self._lost = asyncio.Event()
+        self._alive = True
         self._slots = asyncio.Semaphore(self._shape.slots)
         self.open_connections = 0
+        self.starts += 1
 
     def connect(self) -> None:
         """Take a connection.
@@ -130,9 +143,9 @@
 
     def cancel(self, request_id: str) -> None:
         """Stop work on a request."""
-        event = self._cancelled.get(request_id)
-        if event is not None:
-            event.set()
+        stop = self._stops.get(request_id)
+        if stop is not None:
+            _stop(stop)
 
     async def search(self, batch: Batch) -> BatchReply:
         """Answer a batch.
@@ -144,12 +157,12 @@
         self.sub_queries += len(batch.subs)
         if self._condition is UpstreamCondition.SHEDDING:
             return self._all_failed(batch, FailureCode.SHED, "no room")
-        cancelled = asyncio.Event()
-        self._cancelled[batch.request_id] = cancelled
+        stop: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._stops[batch.request_id] = stop
         try:
-            finished = await self._work(batch, cancelled)
+            finished = await self._work(batch, stop)
         finally:
-            del self._cancelled[batch.request_id]
+            del self._stops[batch.request_id]
         if not finished:
             return self._all_failed(batch, FailureCode.CANCELLED, "cancelled")
         return self._answer(batch)
@@ -161,28 +174,24 @@
         """
         self._check_alive()
         async with self._slots:
-            await self._pause(1, asyncio.Event())
+            await self._pause(1, asyncio.get_running_loop().create_future())
             self._check_alive()
             self.effects.append(order)
         return OrderReply(True, {"number": len(self.effects)}, self._condition)
 
-    async def _work(self, batch: Batch, cancelled: asyncio.Event) -> bool:
+    async def _work(self, batch: Batch, stop: asyncio.Future[None]) -> bool:
         async with self._slots:
+            self._check_alive()
             self._crash_if_asked(batch)
-            finished = await self._pause(len(batch.subs), cancelled)
+            finished = await self._pause(len(batch.subs), stop)
         self._check_alive()
         return finished
 
-    async def _pause(self, subs: int, cancelled: asyncio.Event) -> bool:
+    async def _pause(self, subs: int, stop: asyncio.Future[None]) -> bool:
         mean = self._shape.request_seconds + subs * self._shape.sub_seconds
         seconds = mean * self._slow * self._random.lognormvariate(0.0, self._shape.spread)
-        stops = [asyncio.ensure_future(event.wait()) for event in (cancelled, self._lost)]
-        try:
-            await asyncio.wait(stops, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            for stop in stops:
-                stop.cancel()
-        return not cancelled.is_set()
+        await asyncio.wait((stop,), timeout=seconds)
+        return not stop.done()
 
     def _crash_if_asked(self, batch: Batch) -> None:
         if self._crash_text and any(self._crash_text in sub.query for sub in batch.subs):
@@ -195,7 +204,7 @@
             raise UpstreamCrashError("down")
 
     def _answer(self, batch: Batch) -> BatchReply:
-        reply = BatchReply({}, {}, self._condition)
+        reply = BatchReply({}, {}, self._reported)
         for sub in batch.subs:
             failure = self._fault(sub)
             if failure is None:
@@ -216,4 +225,9 @@
 
     def _all_failed(self, batch: Batch, code: FailureCode, reason: str) -> BatchReply:
         failure = Failure(Step.REPLY, self._shape.address, reason, code)
-        return BatchReply({}, {sub.sub_id: failure for sub in batch.subs}, self._condition)
+        return BatchReply({}, {sub.sub_id: failure for sub in batch.subs}, self._reported)
+
+
+def _stop(stop: asyncio.Future[None]) -> None:
+    if not stop.done():
+        stop.set_result(None)
