--- a/auburncart/bench/run.py
+++ b/auburncart/bench/run.py
@@ -115,7 +115,7 @@
         request = SearchRequest(
             f"r{self._numbers}", customer, kind.kind, query, loop.time() + kind.seconds
         )
-        result = await vm.searches.search(request)
+        result = await vm.node.searches.search(request)
         late = loop.time() - request.deadline
         await asyncio.sleep(self._site.latency.client_seconds)
         answer = result.ok if result.is_ok() else None
--- a/auburncart/bench/tier.py
+++ b/auburncart/bench/tier.py
@@ -1,24 +1,30 @@
 """The entry VMs of a deployment on one loop, over the same upstream models."""
 
+import zlib
 from collections.abc import Callable
 from typing import NamedTuple
 
 from auburncart.bench.site import Group, SiteFile
 from auburncart.coordination import (
-    Catalogue,
-    Fleet,
+    Node,
     Observer,
     Policies,
-    SearchService,
-    TableKeeper,
-    Upstream,
     baseline_policies,
+    default_policies,
 )
 from auburncart.exception import InputError
-from auburncart.standins.fakes import Distance, FakeBus, FakeDialer, FakeMembership, FakeNetwork
+from auburncart.standins.fakes import (
+    Distance,
+    FakeBus,
+    FakeDialer,
+    FakeMembership,
+    FakeNetwork,
+    FakeStore,
+)
+from auburncart.standins.platform import PlatformModel
 from auburncart.standins.site import demo_hits, make_shard_map
 from auburncart.standins.upstream import UpstreamModel, UpstreamShape
-from auburncart.state import Member, Replica, ShardMap
+from auburncart.state import Member, ShardMap
 
 __all__ = ["POLICIES", "EntryVm", "Tier", "VmParts", "make_shapes"]
 
@@ -44,7 +50,11 @@
     return baseline_policies(parts.places, parts.vms)
 
 
-POLICIES: dict[str, Callable[[VmParts], Policies]] = {"baseline": _baseline}
+def _default(parts: VmParts) -> Policies:
+    return default_policies(parts.vms, seed=zlib.crc32(parts.membership.own.address.encode()))
+
+
+POLICIES: dict[str, Callable[[VmParts], Policies]] = {"baseline": _baseline, "default": _default}
 
 
 class PlacedShape(NamedTuple):
@@ -77,45 +87,12 @@
     return placed
 
 
-class EntryVm:
-    """One entry VM: the product's services over fakes.
-
-    :param member: address and data centre.
-    :param dialer: its way to the upstreams.
-    :param policies: its own policies.
-    """
-
-    def __init__(
-        self,
-        member: Member,
-        dialer: FakeDialer,
-        policies: Policies,
-        observer: Observer,
-    ) -> None:
-        self.member = member
-        self.dialer = dialer
-        self.policies = policies
-        self.catalogue = Catalogue()
-        self.tables = TableKeeper()
-        self.fleet = Fleet(self._make_upstream)
-        self._observer = observer
-        self.searches = SearchService(self.catalogue, self.tables, self.fleet, policies, observer)
+class EntryVm(NamedTuple):
+    """One entry VM: the product's own services over fakes."""
 
-    async def close(self) -> None:
-        """End all connections."""
-        await self.fleet.close()
-
-    def _make_upstream(self, replica: Replica) -> Upstream:
-        return Upstream(
-            replica,
-            local=replica.data_centre == self.member.data_centre,
-            name=self.member.address,
-            dialer=self.dialer,
-            batching=self.policies.batching,
-            limit=self.policies.limit,
-            quarantine=self.policies.quarantine,
-            observer=self._observer,
-        )
+    member: Member
+    dialer: FakeDialer
+    node: Node
 
 
 class Tier:
@@ -135,6 +112,7 @@
             )
         self.site = site
         self.network = FakeNetwork()
+        self._platform = PlatformModel()
         self._placed = make_shapes(site)
         self.models = {
             placed.shape.address: UpstreamModel(placed.shape, seed * 100_003 + number)
@@ -175,7 +153,7 @@
     async def close(self) -> None:
         """End all connections of all VMs."""
         for vm in self.vms:
-            await vm.close()
+            await vm.node.stop()
 
     def _members(self) -> list[Member]:
         return [
@@ -200,10 +178,17 @@
             observer,
         )
         dialer = FakeDialer(self.models, distances=distances)
-        vm = EntryVm(member, dialer, POLICIES[policies](parts), observer)
-        vm.catalogue.install(self.shard_map)
-        vm.tables.install(self.site.table)
-        return vm
+        node = Node(
+            member.address,
+            member.data_centre,
+            FakeStore(self._platform),
+            dialer,
+            POLICIES[policies](parts),
+            observer,
+        )
+        node.catalogue.install(self.shard_map)
+        node.tables.install(self.site.table)
+        return EntryVm(member, dialer, node)
 
     def _make_shard_map(self) -> ShardMap:
         shapes = [placed.shape for placed in self._placed]
--- a/auburncart/coordination/choice.py
+++ b/auburncart/coordination/choice.py
@@ -1,5 +1,6 @@
 """Which replica a sub-query goes to."""
 
+import math
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Sequence
@@ -13,11 +14,14 @@
     """Chooses one of the upstreams that hold a shard."""
 
     @abstractmethod
-    def choose(self, candidates: Sequence[Upstream], now: float) -> Upstream | None:
+    def choose(
+        self, candidates: Sequence[Upstream], now: float, deadline: float = math.inf
+    ) -> Upstream | None:
         """Return an upstream, or None if none of them should get work.
 
         :param candidates: upstreams of the shard that were not tried yet for this sub-query.
         :param now: loop time in seconds.
+        :param deadline: loop time in seconds at which the answer loses its use.
         """
 
 
@@ -27,7 +31,9 @@
     def __init__(self) -> None:
         self._turns: Counter[str] = Counter()
 
-    def choose(self, candidates: Sequence[Upstream], now: float) -> Upstream | None:
+    def choose(
+        self, candidates: Sequence[Upstream], now: float, deadline: float = math.inf
+    ) -> Upstream | None:
         """Return the next candidate in turn."""
         if not candidates:
             return None
--- a/auburncart/standins/fakes.py
+++ b/auburncart/standins/fakes.py
@@ -171,13 +171,14 @@
         distances: Mapping[str, Distance] | None = None,
     ) -> None:
         self._models = models
-        self._default = Distance(seconds, connect_seconds)
+        self._seconds = seconds
+        self._connect_seconds = connect_seconds
         self._distances = distances or {}
         self.cut: set[str] = set()
 
     async def connect(self, replica: Replica) -> FakeConnection:
         """Open a connection."""
-        distance = self._distances.get(replica.address, self._default)
+        distance = self._distance(replica)
         await asyncio.sleep(distance.connect_seconds)
         model = self._models.get(replica.address)
         if model is None or replica.address in self.cut:
@@ -192,11 +193,15 @@
 
     async def cancel(self, replica: Replica, request_id: str) -> None:
         """Tell the model that nobody waits any more."""
-        await asyncio.sleep(self._distances.get(replica.address, self._default).seconds)
+        await asyncio.sleep(self._distance(replica).seconds)
         model = self._models.get(replica.address)
         if model is not None and replica.address not in self.cut:
             model.cancel(request_id)
 
+    def _distance(self, replica: Replica) -> Distance:
+        default = Distance(self._seconds, self._connect_seconds)
+        return self._distances.get(replica.address, default)
+
 
 class FakeNetwork:
     """Carries facts and questions between the :class:`FakeBus` of each VM.
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -3,7 +3,17 @@
 from auburncart.state.fact import FACTS, QueryLoss, TableNews
 from auburncart.state.failure import Failure, FailureCode, Ran, Refusal, RefusalCode, Step
 from auburncart.state.member import Condition, Member
-from auburncart.state.order import Claim, ClaimState, OrderAnswer, OrderRequest
+from auburncart.state.order import (
+    Claim,
+    ClaimBucket,
+    ClaimChange,
+    ClaimState,
+    ClaimStep,
+    ClaimVerdict,
+    OrderAnswer,
+    OrderRequest,
+    Verdict,
+)
 from auburncart.state.search import (
     Coverage,
     Hit,
@@ -15,7 +25,15 @@
     coverage_of,
 )
 from auburncart.state.shards import Replica, Shard, ShardMap
-from auburncart.state.table import AuditEntry, Row, Table, TableDocument, find_row
+from auburncart.state.table import (
+    AuditArchive,
+    AuditEntry,
+    Floors,
+    Row,
+    Table,
+    TableDocument,
+    find_row,
+)
 from auburncart.state.upstream import (
     Batch,
     BatchReply,
@@ -26,16 +44,22 @@
 from auburncart.state.work import Rank, Work
 
 __all__ = [
+    "AuditArchive",
     "AuditEntry",
     "Batch",
     "BatchReply",
     "Claim",
+    "ClaimBucket",
+    "ClaimChange",
     "ClaimState",
+    "ClaimStep",
+    "ClaimVerdict",
     "Condition",
     "Coverage",
     "FACTS",
     "Failure",
     "FailureCode",
+    "Floors",
     "Hit",
     "Member",
     "MissingShard",
@@ -61,6 +85,7 @@
     "TableNews",
     "UpstreamCondition",
     "UpstreamOrder",
+    "Verdict",
     "Work",
     "coverage_of",
     "find_row",
