--- a/auburncart/command/bench.py
+++ b/auburncart/command/bench.py
@@ -6,6 +6,7 @@
 from cyclopts import App
 
 from auburncart.bench.cases import CASES
+from auburncart.bench.concurrency import measure_loop, measure_threads
 from auburncart.bench.measure import RunFigures
 from auburncart.bench.report import run_table
 from auburncart.bench.run import run_case
@@ -45,6 +46,26 @@
     return 0
 
 
+@app.command
+def concurrency(
+    *, to: str, shard: str, connections: int = 8, count: int = 1000, repeat: int = 3
+) -> int:
+    """Compare one loop with a thread for each connection to threads throughout.
+
+    :param to: ``IP:port`` of an upstream on loopback, such as ``auburncart standin upstream``.
+    :param shard: a shard that it holds.
+    :param connections: kept connections.
+    :param count: sub-queries in a run.
+    :param repeat: runs of each way, in turns.
+    """
+    for _ in range(repeat):
+        for measure in (measure_loop, measure_threads):
+            cost = measure(to, shard, connections, count)
+            figures = f"{cost.processor_ms:.3f} ms processor time, {cost.wall_ms:.3f} ms each"
+            print(f"{cost.way:<8} {cost.sub_queries} sub-queries: {figures}")
+    return 0
+
+
 @app.command
 def cases() -> int:
     """List the cases."""
