bench load: an open-loop load over HTTP, bounded, with latency from the due time

Cause: the ports' behaviour in a flood was shown only with a stub behind them.

Change: bench/load.py and 'auburncart bench load'; the processes' world tells each VM how many VMs share the upstreams (it left the default of 9, which cut one VM's share of the slots to a ninth).

Conclusion: the share of slots must follow the membership, not a setting.

--- a/auburncart/command/bench.py
+++ b/auburncart/command/bench.py
@@ -1,5 +1,6 @@
 """``auburncart bench``: measurements."""
 
+import asyncio
 import sys
 
 import msgspec
@@ -7,11 +8,13 @@
 
 from auburncart.bench.cases import CASES
 from auburncart.bench.concurrency import measure_loop, measure_threads
+from auburncart.bench.load import Stream, run_load
 from auburncart.bench.measure import RunFigures
 from auburncart.bench.report import run_table
 from auburncart.bench.run import run_case
 from auburncart.bench.site import load_site
 from auburncart.bench.tier import POLICIES
+from auburncart.exception import InputError
 
 __all__ = ["app"]
 
@@ -66,6 +69,36 @@
     return 0
 
 
+@app.command
+def load(stream: list[str], *, seconds: float = 5.0, seed: int = 1, json: bool = False) -> int:
+    """Send searches to running entry VMs at given rates and print what came of them.
+
+    :param stream: ``IP:port,CUSTOMER,KIND,RATE,DEADLINE_MS``, one for each kind of work.
+    :param seconds: time in which requests arrive.
+    :param seed: seed of the arrival times.
+    :param json: print one JSON array in place of the lines.
+    """
+    figures = asyncio.run(run_load([_stream(text) for text in stream], seconds, seed))
+    if json:
+        sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
+        return 0
+    for found in figures:
+        times = f"p50 {found.p50_ms:.1f}, p99 {found.p99_ms:.1f}, longest {found.longest_ms:.1f} ms"
+        print(f"{found.stream.kind}: {found.offered} offered, {found.in_time:.2%} in time; {times}")
+        print(f"  {found.outcomes}")
+    return 0
+
+
+def _stream(text: str) -> Stream:
+    parts = text.split(",")
+    try:
+        address, customer, kind, rate, deadline_ms = parts
+        return Stream(address, customer, kind, float(rate), int(deadline_ms))
+    except ValueError as error:
+        expected = "expected IP:port,CUSTOMER,KIND,RATE,DEADLINE_MS"
+        raise InputError(f"stream {text!r}: {expected}", step="parse") from error
+
+
 @app.command
 def cases() -> int:
     """List the cases."""
--- a/auburncart/scenario/tests/real.py
+++ b/auburncart/scenario/tests/real.py
@@ -155,10 +155,10 @@
         await asyncio.gather(*(self._listening(name) for name in self._processes))
         names = [f"vm{number + 1}" for number in range(int(options.get("vms", "1")))]
         for number, name in enumerate(names):
-            self._start_vm(name, centres[number % len(centres)])
+            self._start_vm(name, centres[number % len(centres)], len(names))
         await asyncio.gather(*(self._ready(name) for name in names))
 
-    def _start_vm(self, name: str, data_centre: str) -> None:
+    def _start_vm(self, name: str, data_centre: str, vms: int) -> None:
         self._addresses[name] = _free_address()
         settings = Path(self._folder.name) / f"{name}.json"
         fields = {
@@ -167,6 +167,7 @@
             "general_address": self._addresses[name],
             "urgent_address": _free_address(),
             "platform_address": self._addresses["platform"],
+            "connecting_vms": vms,
             "balancer_lag_seconds": self._lag,
             "log_file": "",
         }
