Upstream's queue: no job waits for ever, cancels and orders stay within the share

Change: a task opens its connection before it takes work; cancellations and orders are errands of the same tasks; jobs are kept in ordered maps; errors tell time-outs, shedding, refusals and mismatches from a lost connection, so that only a lost one counts as a crash. Hooks for an adaptive limit and a dial back-off stand with their baselines.

--- /dev/null
+++ b/auburncart/coordination/health.py
@@ -0,0 +1,43 @@
+"""What the replies and failures of one upstream tell of it."""
+
+from auburncart.state import Failure, FailureCode, UpstreamCondition
+
+__all__ = ["UpstreamHealth"]
+
+LATENCY_WEIGHT = 0.1  # share of a new measurement in the moving average
+
+
+class UpstreamHealth:
+    """Moving average of latency, failures in a row, and the condition last reported."""
+
+    def __init__(self) -> None:
+        self.latency = 0.0
+        self.failures = 0
+        self.last_failure: Failure | None = None
+        self.condition = UpstreamCondition.READY
+        self.condition_since = 0.0
+
+    def record_reply(self, seconds: float, condition: UpstreamCondition, now: float) -> None:
+        """Take in a reply.
+
+        :param seconds: time from sending to reply.
+        :param condition: condition that it reports.
+        :param now: loop time in seconds.
+        """
+        self.failures = 0
+        weight = LATENCY_WEIGHT if self.latency else 1.0
+        self.latency += weight * (seconds - self.latency)
+        if condition is not self.condition:
+            self.condition = condition
+            self.condition_since = now
+
+    def record_failure(self, failure: Failure, now: float) -> None:
+        """Take in a request or a dial without a reply.
+
+        The condition belongs to a process: it ends with the process that refuses a connection.
+        """
+        self.failures += 1
+        self.last_failure = failure
+        if failure.code is FailureCode.UNREACHABLE:
+            self.condition = UpstreamCondition.READY
+            self.condition_since = now
--- a/auburncart/coordination/interfaces.py
+++ b/auburncart/coordination/interfaces.py
@@ -40,6 +40,15 @@
         :raises UpstreamError: no matching reply; ``sent`` tells whether it may have arrived.
         """
 
+    @abstractmethod
+    async def cancel(self, request_id: str) -> None:
+        """Tell the upstream that nobody waits for a request on another connection any more.
+
+        Does nothing where the upstream takes no cancellation.
+
+        :raises UpstreamError: the connection is not to be used again.
+        """
+
     @abstractmethod
     async def close(self) -> None:
         """Close the connection at once; a request at work on it fails."""
@@ -55,10 +64,6 @@
         :raises UpstreamError: the upstream could not be reached.
         """
 
-    @abstractmethod
-    async def cancel(self, replica: Replica, request_id: str) -> None:
-        """Tell an upstream that nobody waits for a request any more; failures are ignored."""
-
 
 class Key(NamedTuple, Generic[T]):
     """Name of a stored object of type ``T``.
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -1,23 +1,36 @@
-"""One upstream as this VM sees it: its queue, its connections and what they tell of it."""
+"""One upstream as this VM sees it: its queue and its connections."""
 
 import asyncio
+import functools
 import itertools
 from collections import deque
+from collections.abc import Awaitable, Callable
 
+from eliot import write_traceback
+
+from auburncart.coordination.backoff import Backoff, NoBackoff
 from auburncart.coordination.batching import Batching
+from auburncart.coordination.health import UpstreamHealth
 from auburncart.coordination.interfaces import UpstreamConnection, UpstreamDialer
 from auburncart.coordination.job import Job
+from auburncart.coordination.jobqueue import JobQueue
 from auburncart.coordination.limits import ConnectionLimit
 from auburncart.coordination.observer import Observer
+from auburncart.coordination.pressure import InFlightLimit, OpenInFlight
 from auburncart.coordination.quarantine import Quarantine
-from auburncart.exception import UpstreamError
+from auburncart.exception import (
+    UpstreamError,
+    UpstreamMismatchError,
+    UpstreamRefusedError,
+    UpstreamShedError,
+    UpstreamTimeoutError,
+)
 from auburncart.state import (
     Batch,
     BatchReply,
     Failure,
     FailureCode,
     OrderReply,
-    Rank,
     Replica,
     Step,
     UpstreamCondition,
@@ -26,24 +39,54 @@
 
 __all__ = ["Upstream", "failure_of"]
 
-LATENCY_WEIGHT = 0.1  # share of a new measurement in the moving average
 _request_numbers = itertools.count(1)
 
 STEPS = {step.value: step for step in Step}
+CODES: dict[type[UpstreamError], FailureCode] = {
+    UpstreamMismatchError: FailureCode.MISMATCH,
+    UpstreamRefusedError: FailureCode.REFUSED,
+    UpstreamShedError: FailureCode.SHED,
+    UpstreamTimeoutError: FailureCode.TIMED_OUT,
+}
+
+Errand = Callable[[UpstreamConnection], Awaitable[UpstreamConnection | None]]
 
 
 def failure_of(error: UpstreamError) -> Failure:
     """Return the failure that an exception of an upstream connection stands for."""
     step = STEPS.get(error.step, Step.REPLY)
-    code = FailureCode.UNREACHABLE if step is Step.CONNECT else FailureCode.LOST
-    return Failure(step, error.peer, error.reason, code, error.sent)
+    other = FailureCode.UNREACHABLE if step is Step.CONNECT else FailureCode.LOST
+    return Failure(step, error.peer, error.reason, CODES.get(type(error), other), error.sent)
+
+
+class _OrderErrand:
+    """An order that waits for a connection."""
+
+    def __init__(self, order: UpstreamOrder) -> None:
+        self.order = order
+        self.reply: asyncio.Future[OrderReply] = asyncio.get_running_loop().create_future()
+
+    def fail(self, error: UpstreamError) -> None:
+        if not self.reply.done():
+            self.reply.set_exception(error)
 
 
 class Upstream:
     """The queue of one upstream, served by one task for each connection.
 
+    A task first opens its connection and only then takes work, so that no job depends on one
+    dial. Cancellations and orders travel over the same connections as searches.
+
     :param replica: what the shard map says of it.
     :param local: whether it is in this VM's data centre.
+    :param name: name of this VM, with which its request identifiers begin.
+    :param dialer: opens connections.
+    :param batching: sizes the batches.
+    :param limit: this VM's share of the upstream's connections.
+    :param quarantine: tells which jobs must travel alone.
+    :param observer: told of connections and sub-queries.
+    :param pressure: bounds the requests at work.
+    :param backoff: spaces the dials after a refused one.
     """
 
     def __init__(
@@ -57,24 +100,31 @@
         limit: ConnectionLimit,
         quarantine: Quarantine,
         observer: Observer,
+        pressure: InFlightLimit | None = None,
+        backoff: Backoff | None = None,
     ) -> None:
         self._replica = replica
         self._local = local
         self._name = name
         self._dialer = dialer
-        self._batching = batching
         self._limit = limit
         self._quarantine = quarantine
         self._observer = observer
-        self._queues: dict[Rank, deque[Job]] = {rank: deque() for rank in Rank}
+        self._pressure = pressure or OpenInFlight()
+        self._backoff = backoff or NoBackoff()
+        self._health = UpstreamHealth()
+        self._queue = JobQueue(replica, batching, quarantine)
+        self._orders: deque[_OrderErrand] = deque()
+        self._cancels: deque[str] = deque()
+        self._running: dict[str, tuple[Job, ...]] = {}
         self._idle: deque[asyncio.Future[None]] = deque()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._cancels: set[asyncio.Task[None]] = set()
-        self._running: dict[str, tuple[Job, ...]] = {}
-        self._latency = 0.0
-        self._failures = 0
-        self._condition = UpstreamCondition.READY
-        self._condition_since = 0.0
+        self._serving = 0
+        self._established = 0
+        self._dial_after = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._recovering = False
+        self._closing = False
 
     @property
     def replica(self) -> Replica:
@@ -94,7 +144,7 @@
     @property
     def waiting(self) -> int:
         """Number of sub-queries in the queue."""
-        return sum(len(queue) for queue in self._queues.values())
+        return len(self._queue)
 
     @property
     def outstanding(self) -> int:
@@ -109,54 +159,143 @@
     @property
     def latency(self) -> float:
         """Moving average of the time of a request in seconds, 0 before the first."""
-        return self._latency
+        return self._health.latency
 
     @property
     def failures(self) -> int:
         """Number of requests that failed since the last success."""
-        return self._failures
+        return self._health.failures
+
+    @property
+    def last_failure(self) -> Failure | None:
+        """How the last failed request or dial failed."""
+        return self._health.last_failure
 
     @property
     def condition(self) -> UpstreamCondition:
         """Condition that the upstream last reported of itself."""
-        return self._condition
+        return self._health.condition
+
+    @property
+    def condition_since(self) -> float:
+        """Loop time in seconds at which that condition was first reported."""
+        return self._health.condition_since
+
+    @property
+    def ready(self) -> bool:
+        """Whether a job given to it now can be taken up: it is not being waited for to recover."""
+        return not (self._closing or self._recovering or self._share() == 0)
+
+    @property
+    def free(self) -> bool:
+        """Whether a job given to it now starts without waiting for another."""
+        now = asyncio.get_running_loop().time()
+        room = min(self._share(), self._pressure.requests(now))
+        return self.ready and not self._queue and len(self._running) < room
 
     def submit(self, job: Job) -> None:
         """Put a job into the queue and see that a connection takes it."""
-        self._queues[job.rank].append(job)
-        if self._idle:
-            self._idle.popleft().set_result(None)
-        elif self.connections < self._limit.connections(self._replica):
-            self._open()
+        job.queued_at = asyncio.get_running_loop().time()
+        if not self.ready:
+            job.fail(self._unready())
+            return
+        self._queue.add(job)
+        self._engage()
 
     def cancel(self, job: Job) -> None:
-        """Forget a job; if nobody waits for its request any more, tell the upstream."""
+        """Forget a job; if nobody waits for its request any more, tell the upstream.
+
+        The word travels over a connection that is free or becomes free while the request is at
+        work; no connection is opened beyond this VM's share for it.
+        """
         job.cancelled = True
+        if self._queue.discard(job):
+            return
         jobs = self._running.get(job.request_id, ())
         if jobs and all(other.cancelled for other in jobs):
-            task = asyncio.create_task(self._dialer.cancel(self._replica, job.request_id))
-            self._cancels.add(task)
-            task.add_done_callback(self._cancels.discard)
+            self._cancels.append(job.request_id)
+            self._engage()
 
     async def order(self, order: UpstreamOrder) -> OrderReply:
-        """Send an order over a connection of its own.
+        """Send an order once, over a new connection within this VM's share.
 
         :raises UpstreamError: no matching reply.
         """
-        connection = await self._dialer.connect(self._replica)
-        try:
-            return await connection.order(order)
-        finally:
-            await connection.close()
+        if not self.ready:
+            failure = self._unready()
+            raise UpstreamError(failure.reason, step="connect", peer=self.address, sent=False)
+        errand = _OrderErrand(order)
+        self._orders.append(errand)
+        self._engage()
+        wait = order.deadline - asyncio.get_running_loop().time()
+        await asyncio.wait((errand.reply,), timeout=wait)
+        if errand in self._orders:
+            self._orders.remove(errand)
+            raise UpstreamError(
+                "no free connection before the deadline",
+                step="queue",
+                peer=self.address,
+                sent=False,
+            )
+        return await errand.reply
+
+    def withdraw(self, failure: Failure) -> None:
+        """Fail all jobs in the queue, so that their searches ask another replica."""
+        self._queue.fail_all(failure)
+
+    def trim(self) -> None:
+        """Close idle connections above this VM's share, after the share has changed."""
+        for _ in range(self._serving - self._share()):
+            self._wake()
+        if self._share() == 0:
+            self.withdraw(self._unready())
+        self._engage()
 
     async def close(self) -> None:
-        """End all connections; jobs at work fail."""
-        tasks = [*self._tasks, *self._cancels]
+        """End all connections; jobs in the queue or at work fail."""
+        self._closing = True
+        if self._timer is not None:
+            self._timer.cancel()
+        tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        self._fail_waiting(self._unready())
+
+    def _share(self) -> int:
+        return self._limit.connections(self._replica)
+
+    def _unready(self) -> Failure:
+        reason = "closed" if self._closing else "this VM has no connection to it"
+        if self._recovering and self._health.last_failure is not None:
+            reason = f"not dialled again yet after: {self._health.last_failure.reason}"
+        return Failure(Step.CONNECT, self.address, reason, FailureCode.UNREACHABLE, False)
+
+    def _fail_waiting(self, failure: Failure) -> None:
+        self._queue.fail_all(failure)
+        while self._orders:
+            error = UpstreamError(failure.reason, step="connect", peer=self.address, sent=False)
+            self._orders.popleft().fail(error)
+
+    def _engage(self) -> None:
+        """See that a connection takes up what waits, if one may."""
+        if not self._has_errand() or self._wake():
+            return
+        now = asyncio.get_running_loop().time()
+        may_open = self._serving < self._share() and not self._closing and not self._recovering
+        if may_open and now >= self._dial_after:
+            self._open()
+
+    def _wake(self) -> bool:
+        while self._idle:
+            idle = self._idle.popleft()
+            if not idle.done():
+                idle.set_result(None)
+                return True
+        return False
 
     def _open(self) -> None:
+        self._serving += 1
         task = asyncio.create_task(self._serve(), name=f"upstream {self.address}")
         self._tasks.add(task)
         task.add_done_callback(self._closed)
@@ -165,84 +304,170 @@
     def _closed(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         self._observer.connections_changed(self.address, self.connections)
+        if self._closing:
+            return
+        if self._share() == 0:
+            self._fail_waiting(self._unready())
+        self._engage()
 
     async def _serve(self) -> None:
+        """Serve the queue over one connection until it is above this VM's share."""
         connection: UpstreamConnection | None = None
         try:
-            while self.connections <= self._limit.connections(self._replica):
-                jobs = await self._next_jobs()
-                connection = await self._exchange(connection, jobs)
+            if self._recovering:
+                connection = await self._redial()
+            while self._serving <= self._share():
+                if not self._has_errand():
+                    await self._wait()
+                elif connection is None:
+                    connection = await self._dial()
+                else:
+                    connection = await self._next_errand()(connection)
+        except UpstreamError as error:
+            self._refused(error)
         finally:
+            self._serving -= 1
             if connection is not None:
-                await connection.close()
-
-    async def _next_jobs(self) -> tuple[Job, ...]:
-        while True:
-            jobs = self._take()
-            if jobs:
-                return jobs
-            wake: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-            self._idle.append(wake)
-            try:
-                await wake
-            finally:
-                if wake in self._idle:
-                    self._idle.remove(wake)
-
-    def _take(self) -> tuple[Job, ...]:
+                await self._drop(connection)
+
+    async def _wait(self) -> None:
+        wake: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._idle.append(wake)
+        try:
+            await wake
+        finally:
+            if wake in self._idle:
+                self._idle.remove(wake)
+
+    async def _dial(self) -> UpstreamConnection:
+        connection = await self._dialer.connect(self._replica)
+        self._established += 1
+        return connection
+
+    async def _redial(self) -> UpstreamConnection | None:
+        """Dial with growing delays; None if the upstream did not come back."""
+        try:
+            for delay in self._backoff.delays():
+                await asyncio.sleep(delay)
+                try:
+                    return await self._dial()
+                except UpstreamError as error:
+                    self._note(failure_of(error))
+        finally:
+            self._recovering = False
+        return None
+
+    async def _drop(self, connection: UpstreamConnection) -> None:
+        self._established -= 1
+        await connection.close()
+
+    def _refused(self, error: UpstreamError) -> None:
+        """Leave the upstream alone after a failed dial; connections that stand go on."""
+        failure = failure_of(error)
+        self._note(failure)
         now = asyncio.get_running_loop().time()
-        for queue in self._queues.values():
-            while queue:
-                first = queue.popleft()
-                if self._expired(first, now):
-                    continue
-                return (first, *self._companions(first, queue, now))
-        return ()
-
-    def _expired(self, job: Job, now: float) -> bool:
-        if job.cancelled:
-            return True
-        if now < job.sub.deadline:
+        if self._established:
+            self._dial_after = now + next(self._backoff.delays(), 0.0)
+            return
+        self._fail_waiting(failure)
+        if next(self._backoff.delays(), None) is not None and not self._recovering:
+            self._recovering = True
+            self._open()
+
+    def _note(self, failure: Failure) -> None:
+        self._health.record_failure(failure, asyncio.get_running_loop().time())
+
+    def _has_errand(self) -> bool:
+        return bool(self._cancels or self._orders or self._may_start())
+
+    def _may_start(self) -> bool:
+        if not self._queue:
             return False
-        failure = Failure(Step.QUEUE, self.address, "deadline passed", FailureCode.TIMED_OUT, False)
-        job.fail(failure)
-        return True
-
-    def _companions(self, first: Job, queue: deque[Job], now: float) -> list[Job]:
-        if self._quarantine.isolates(first.sub.kind, first.sub.query, now):
-            return []
-        room = self._batching.size(self._replica, self.waiting + 1) - 1
-        jobs: list[Job] = []
-        while queue and len(jobs) < room and queue[0].sub.snapshot == first.sub.snapshot:
-            job = queue.popleft()
-            if self._quarantine.isolates(job.sub.kind, job.sub.query, now):
-                queue.appendleft(job)
-                break
-            if not self._expired(job, now):
-                jobs.append(job)
-        return jobs
-
-    async def _exchange(
-        self, connection: UpstreamConnection | None, jobs: tuple[Job, ...]
+        now = asyncio.get_running_loop().time()
+        if len(self._running) < self._pressure.requests(now):
+            return self._queue.startable(self._isolated_at_work(), now)
+        self._resume_later(now)
+        return False
+
+    def _resume_later(self, now: float) -> None:
+        at = self._pressure.resumes_at()
+        if at <= now or (self._timer is not None and self._timer.when() >= now):
+            return
+        self._timer = asyncio.get_running_loop().call_at(at, self._engage)
+
+    def _isolated_at_work(self) -> bool:
+        return any(jobs[0].isolated for jobs in self._running.values())
+
+    def _next_errand(self) -> Errand:
+        if self._cancels:
+            return functools.partial(self._tell, self._cancels.popleft())
+        if self._orders:
+            return functools.partial(self._carry_out, self._orders.popleft())
+        now = asyncio.get_running_loop().time()
+        return functools.partial(self._search, self._queue.take(self._isolated_at_work(), now))
+
+    async def _tell(
+        self, request_id: str, connection: UpstreamConnection
     ) -> UpstreamConnection | None:
+        """Tell the upstream that nobody waits for a request, if it is still at work."""
+        if request_id not in self._running:
+            return connection
+        try:
+            await connection.cancel(request_id)
+        except UpstreamError:
+            await self._drop(connection)
+            return None
+        return connection
+
+    async def _carry_out(
+        self, errand: _OrderErrand, connection: UpstreamConnection
+    ) -> UpstreamConnection | None:
+        """Send an order over a new connection: a kept one may turn out to be stale too late."""
+        await self._drop(connection)
+        fresh: UpstreamConnection | None = None
+        try:
+            fresh = await self._dial()
+            reply = await fresh.order(errand.order)
+        except UpstreamError as error:
+            errand.fail(error)
+        except asyncio.CancelledError:
+            errand.fail(UpstreamError("closed", step="reply", peer=self.address))
+            raise
+        else:
+            if not errand.reply.done():
+                errand.reply.set_result(reply)
+            return fresh
+        if fresh is not None:
+            await self._drop(fresh)
+        return None
+
+    async def _search(
+        self, jobs: tuple[Job, ...], connection: UpstreamConnection
+    ) -> UpstreamConnection | None:
+        if not jobs:
+            return connection
         batch = self._batch(jobs)
         self._running[batch.request_id] = jobs
         try:
-            connection = connection or await self._dialer.connect(self._replica)
-            reply = await connection.search(batch)
+            self._settle(jobs, await connection.search(batch))
+            return connection
         except UpstreamError as error:
-            self._lose(error, jobs)
-            if connection is not None:
-                await connection.close()
-            return None
+            self._lose(jobs, failure_of(error))
+        except asyncio.CancelledError:
+            self._fail(jobs, Failure(Step.REPLY, self.address, "the connection was closed"))
+            raise
+        except Exception as error:
+            write_traceback()
+            reason = f"unexpected {type(error).__name__}: {error}"
+            self._lose(jobs, Failure(Step.REPLY, self.address, reason, FailureCode.MISMATCH))
         finally:
-            self._running.pop(batch.request_id, None)
-        self._settle(jobs, reply)
-        return connection
+            del self._running[batch.request_id]
+        await self._drop(connection)
+        return None
 
     def _batch(self, jobs: tuple[Job, ...]) -> Batch:
-        now = asyncio.get_running_loop().time()
         request_id = f"{self._name}-{next(_request_numbers)}"
+        now = asyncio.get_running_loop().time()
         for job in jobs:
             job.request_id = request_id
             job.sent_at = now
@@ -250,33 +475,39 @@
         deadline = max(job.sub.deadline for job in jobs)
         return Batch(request_id, jobs[0].sub.snapshot, deadline, tuple(job.sub for job in jobs))
 
-    def _lose(self, error: UpstreamError, jobs: tuple[Job, ...]) -> None:
-        self._failures += 1
-        failure = failure_of(error)
-        if failure.sent:
-            now = asyncio.get_running_loop().time()
-            queries = tuple((job.sub.kind, job.sub.query) for job in jobs)
-            self._quarantine.record_loss(self.address, queries, now)
+    def _lose(self, jobs: tuple[Job, ...], failure: Failure) -> None:
+        now = asyncio.get_running_loop().time()
+        self._health.record_failure(failure, now)
+        if failure.code is FailureCode.SHED:
+            self._pressure.record_shed(now)
+        if failure.code is FailureCode.LOST and failure.sent:
+            runs = tuple(job.run for job in jobs)
+            self._quarantine.record_loss(self.address, runs, jobs[0].isolated, now)
+        self._fail(jobs, failure)
+
+    def _fail(self, jobs: tuple[Job, ...], failure: Failure) -> None:
         for job in jobs:
             job.fail(failure)
 
     def _settle(self, jobs: tuple[Job, ...], reply: BatchReply) -> None:
         now = asyncio.get_running_loop().time()
-        self._failures = 0
-        self._condition = reply.condition
-        self._condition_since = now
-        self._learn(now - jobs[0].sent_at)
+        seconds = now - jobs[0].sent_at
+        self._health.record_reply(seconds, reply.condition, now)
+        if self._is_shed(reply):
+            self._pressure.record_shed(now)
+        else:
+            self._pressure.record_reply(seconds, len(self._running), now)
         for job in jobs:
             answer = reply.answers.get(job.sub.sub_id)
             if answer is not None:
-                self._quarantine.record_answer(job.sub.kind, job.sub.query, now)
+                self._quarantine.record_answer(job.run, now)
                 job.answer(answer)
             else:
                 job.fail(reply.failures.get(job.sub.sub_id, self._unmatched()))
 
-    def _learn(self, seconds: float) -> None:
-        weight = LATENCY_WEIGHT if self._latency else 1.0
-        self._latency += weight * (seconds - self._latency)
+    def _is_shed(self, reply: BatchReply) -> bool:
+        codes = {failure.code for failure in reply.failures.values()}
+        return reply.condition is UpstreamCondition.SHEDDING or FailureCode.SHED in codes
 
     def _unmatched(self) -> Failure:
         return Failure(
--- a/auburncart/exception.py
+++ b/auburncart/exception.py
@@ -5,11 +5,16 @@
     "BodySizeError",
     "InputError",
     "LinkError",
+    "LinkTimeoutError",
     "ProtocolError",
     "SettingsError",
     "StoreConflictError",
     "StoreUnavailableError",
     "UpstreamError",
+    "UpstreamMismatchError",
+    "UpstreamRefusedError",
+    "UpstreamShedError",
+    "UpstreamTimeoutError",
 ]
 
 
@@ -68,10 +73,30 @@
         self.sent = sent
 
 
+class UpstreamTimeoutError(UpstreamError):
+    """An upstream did not reply in time, though the connection stood."""
+
+
+class UpstreamShedError(UpstreamError):
+    """An upstream replied that it has no room for a request."""
+
+
+class UpstreamRefusedError(UpstreamError):
+    """An upstream replied, with neither an answer nor a sign that it has no room."""
+
+
+class UpstreamMismatchError(UpstreamError):
+    """An upstream's reply does not have the agreed form or belongs to another request."""
+
+
 class LinkError(AuburncartError):
     """A link to another entry VM failed or was refused."""
 
 
+class LinkTimeoutError(LinkError):
+    """The other side did not reply in time, though the connection stood."""
+
+
 class StoreUnavailableError(AuburncartError):
     """The platform's store gave no reply; a write may have taken effect all the same."""
 
--- a/auburncart/standins/fakes.py
+++ b/auburncart/standins/fakes.py
@@ -15,7 +15,13 @@
     UpstreamConnection,
     UpstreamDialer,
 )
-from auburncart.exception import LinkError, StoreConflictError, StoreUnavailableError, UpstreamError
+from auburncart.exception import (
+    LinkError,
+    StoreConflictError,
+    StoreUnavailableError,
+    UpstreamError,
+    UpstreamTimeoutError,
+)
 from auburncart.protocol import platform as protocol
 from auburncart.standins.platform import PlatformModel, PlatformOutageError, TagMismatchError
 from auburncart.standins.upstream import UpstreamCrashError, UpstreamModel
@@ -96,6 +102,11 @@
         """Carry out an order."""
         return await self._exchange(self._model.order(order), order.deadline)
 
+    async def cancel(self, request_id: str) -> None:
+        """Tell the model that nobody waits for a request any more."""
+        await asyncio.sleep(self._seconds)
+        self._model.cancel(request_id)
+
     async def close(self) -> None:
         """Let the connection go."""
         if self._open:
@@ -110,7 +121,7 @@
                 reply = await call
                 await asyncio.sleep(self._seconds)
         except TimeoutError as error:
-            raise UpstreamError(
+            raise UpstreamTimeoutError(
                 "no reply before the deadline", step="reply", peer=address
             ) from error
         except UpstreamCrashError as error:
@@ -153,13 +164,6 @@
             ) from error
         return FakeConnection(model, self._seconds)
 
-    async def cancel(self, replica: Replica, request_id: str) -> None:
-        """Tell the model that nobody waits any more."""
-        await asyncio.sleep(self._seconds)
-        model = self._models.get(replica.address)
-        if model is not None and replica.address not in self.cut:
-            model.cancel(request_id)
-
 
 class FakeNetwork:
     """Carries facts and questions between the :class:`FakeBus` of each VM.
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -4,6 +4,7 @@
 from auburncart.state.failure import Failure, FailureCode, Ran, Refusal, RefusalCode, Step
 from auburncart.state.member import Condition, Member
 from auburncart.state.order import Claim, ClaimState, OrderAnswer, OrderRequest
+from auburncart.state.query import QueryRun, query_digest
 from auburncart.state.search import (
     Coverage,
     Hit,
@@ -43,6 +44,7 @@
     "OrderReply",
     "OrderRequest",
     "QueryLoss",
+    "QueryRun",
     "Ran",
     "Rank",
     "Refusal",
@@ -64,4 +66,5 @@
     "Work",
     "coverage_of",
     "find_row",
+    "query_digest",
 ]
--- a/auburncart/transport/http.py
+++ b/auburncart/transport/http.py
@@ -9,7 +9,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
-from auburncart.exception import LinkError
+from auburncart.exception import LinkError, LinkTimeoutError
 from auburncart.transport.worker import Worker
 
 __all__ = ["HttpConnection", "HttpReply"]
@@ -63,6 +63,9 @@
         """
         try:
             return await self._worker.run(self._call, method, path, body, headers, seconds)
+        except TimeoutError as error:
+            self.close()
+            raise LinkTimeoutError("no reply in time", step="reply", peer=self._address) from error
         except (HTTPError, OSError, ValueError) as error:
             self.close()
             reason = f"{type(error).__name__}: {error}"
--- a/auburncart/transport/upstream.py
+++ b/auburncart/transport/upstream.py
@@ -1,10 +1,18 @@
 """Connections to upstreams by HTTP."""
 
 import asyncio
-import contextlib
 
 from auburncart.coordination import UpstreamConnection, UpstreamDialer
-from auburncart.exception import LinkError, ProtocolError, UpstreamError
+from auburncart.exception import (
+    LinkError,
+    LinkTimeoutError,
+    ProtocolError,
+    UpstreamError,
+    UpstreamMismatchError,
+    UpstreamRefusedError,
+    UpstreamShedError,
+    UpstreamTimeoutError,
+)
 from auburncart.protocol import upstream as protocol
 from auburncart.state import Batch, BatchReply, OrderReply, Replica, UpstreamOrder
 from auburncart.transport.http import HttpConnection
@@ -16,6 +24,7 @@
 GRACE_SECONDS = 0.05  # an upstream that keeps its deadline may answer this much later
 HEADERS = {"Content-Type": "application/json"}
 OK = 200
+SHED = (429, 503)
 
 
 class HttpUpstreamConnection(UpstreamConnection):
@@ -33,7 +42,7 @@
         try:
             return protocol.decode_batch_reply(reply, batch, self._address)
         except ProtocolError as error:
-            raise UpstreamError(error.reason, step=error.step, peer=self._address) from error
+            raise UpstreamMismatchError(error.reason, step="match", peer=self._address) from error
 
     async def order(self, order: UpstreamOrder) -> OrderReply:
         """Send an order once and wait for its reply until its deadline."""
@@ -43,7 +52,11 @@
         try:
             return protocol.decode_order_reply(reply, order, self._address)
         except ProtocolError as error:
-            raise UpstreamError(error.reason, step=error.step, peer=self._address) from error
+            raise UpstreamMismatchError(error.reason, step="match", peer=self._address) from error
+
+    async def cancel(self, request_id: str) -> None:
+        """Tell the upstream that nobody waits for a request on another connection any more."""
+        await self.post(protocol.PATH_CANCEL, protocol.encode_cancel(request_id), CANCEL_SECONDS)
 
     async def post(self, path: str, body: bytes, seconds: float) -> bytes:
         """Send any request and return the body of its reply.
@@ -55,11 +68,14 @@
             raise UpstreamError("deadline passed", step="send", peer=self._address, sent=False)
         try:
             reply = await self._http.request("POST", path, body, HEADERS, seconds + GRACE_SECONDS)
+        except LinkTimeoutError as error:
+            raise UpstreamTimeoutError(error.reason, step=error.step, peer=self._address) from error
         except LinkError as error:
             raise UpstreamError(error.reason, step=error.step, peer=self._address) from error
         if reply.status != OK:
             reason = f"status {reply.status}: {reply.body[:200]!r}"
-            raise UpstreamError(reason, step="reply", peer=self._address)
+            kind = UpstreamShedError if reply.status in SHED else UpstreamRefusedError
+            raise kind(reason, step="reply", peer=self._address)
         return reply.body
 
     async def close(self) -> None:
@@ -80,13 +96,3 @@
                 error.reason, step=error.step, peer=error.peer, sent=False
             ) from error
         return HttpUpstreamConnection(replica.address, http)
-
-    async def cancel(self, replica: Replica, request_id: str) -> None:
-        """Tell an upstream that nobody waits for a request; errors change nothing."""
-        with contextlib.suppress(UpstreamError):
-            connection = await self.connect(replica)
-            try:
-                body = protocol.encode_cancel(request_id)
-                await connection.post(protocol.PATH_CANCEL, body, CANCEL_SECONDS)
-            finally:
-                await connection.close()
