--- /dev/null
+++ b/auburncart/coordination/connections.py
@@ -0,0 +1,217 @@
+"""The connections to one upstream, each served by one task."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Awaitable, Callable
+
+from auburncart.coordination.backoff import Backoff
+from auburncart.coordination.health import failure_of
+from auburncart.coordination.interfaces import UpstreamConnection, UpstreamDialer
+from auburncart.coordination.observer import Observer
+from auburncart.exception import UpstreamError
+from auburncart.state import Failure, FailureCode, Replica, Step
+
+__all__ = ["ConnectionPool", "Errand", "Errands"]
+
+Errand = Callable[[UpstreamConnection], Awaitable[UpstreamConnection | None]]
+
+
+class Errands(ABC):
+    """What the connections of one upstream have to do."""
+
+    @property
+    @abstractmethod
+    def pending(self) -> bool:
+        """Whether a connection would find something to do now."""
+
+    @abstractmethod
+    def next(self) -> Errand:
+        """Take the next errand.
+
+        It is called with a connection, and returns the connection if it can be used again.
+        """
+
+    @abstractmethod
+    def strand(self, failure: Failure) -> None:
+        """Take in that no connection can take up what waits."""
+
+    @abstractmethod
+    def note(self, failure: Failure) -> None:
+        """Take in that a dial failed."""
+
+
+class ConnectionPool:
+    """Opens connections for errands, up to this VM's share, and closes them above it.
+
+    A task first opens its connection and only then takes an errand, so that no errand depends on
+    one dial.
+
+    :param replica: the upstream.
+    :param dialer: opens connections.
+    :param share: returns the most connections that this VM may hold now.
+    :param backoff: spaces the dials after a refused one.
+    :param errands: what there is to do.
+    :param observer: told of the number of connections.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        dialer: UpstreamDialer,
+        share: Callable[[], int],
+        backoff: Backoff,
+        errands: Errands,
+        observer: Observer,
+    ) -> None:
+        self._replica = replica
+        self._dialer = dialer
+        self._share = share
+        self._backoff = backoff
+        self._errands = errands
+        self._observer = observer
+        self._idle: deque[asyncio.Future[None]] = deque()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._serving = 0
+        self._established: set[UpstreamConnection] = set()
+        self._dial_after = 0.0
+        self._recovering = False
+        self._closing = False
+        self._refusal = ""
+
+    @property
+    def connections(self) -> int:
+        """Number of connections held or being opened."""
+        return len(self._tasks)
+
+    @property
+    def ready(self) -> bool:
+        """Whether an errand can be taken up now."""
+        return not (self._closing or self._recovering or self._share() == 0)
+
+    def unready(self) -> Failure:
+        """Return the failure of an errand that can't be taken up."""
+        reason = "closed" if self._closing else "this VM may hold no connection to it"
+        if self._recovering:
+            reason = f"left alone for a moment after: {self._refusal}"
+        return Failure(Step.CONNECT, self._replica.address, reason, FailureCode.UNREACHABLE, False)
+
+    def engage(self) -> None:
+        """See that a connection takes up what is pending, if one may."""
+        if not self._errands.pending or self._wake():
+            return
+        now = asyncio.get_running_loop().time()
+        may_open = self.ready and self.connections < self._share()
+        if may_open and now >= self._dial_after:
+            self._open()
+
+    def trim(self) -> None:
+        """Close idle connections above this VM's share, after the share has changed."""
+        for _ in range(self._serving - self._share()):
+            self._wake()
+        if self._share() == 0:
+            self._errands.strand(self.unready())
+        self.engage()
+
+    async def close(self) -> None:
+        """End all tasks; errands at work fail, and those pending are stranded."""
+        self._closing = True
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._errands.strand(self.unready())
+
+    async def dial(self) -> UpstreamConnection:
+        """Open a connection in place of the one that an errand was given.
+
+        :raises UpstreamError: the upstream could not be reached.
+        """
+        connection = await self._dialer.connect(self._replica)
+        self._established.add(connection)
+        return connection
+
+    async def drop(self, connection: UpstreamConnection) -> None:
+        """Close a connection."""
+        self._established.discard(connection)
+        await connection.close()
+
+    def _wake(self) -> bool:
+        while self._idle:
+            idle = self._idle.popleft()
+            if not idle.done():
+                idle.set_result(None)
+                return True
+        return False
+
+    def _open(self) -> None:
+        self._serving += 1
+        task = asyncio.create_task(self._serve(), name=f"upstream {self._replica.address}")
+        self._tasks.add(task)
+        task.add_done_callback(self._closed)
+        self._observer.connections_changed(self._replica.address, self.connections)
+
+    def _closed(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        self._observer.connections_changed(self._replica.address, self.connections)
+        if self._closing:
+            return
+        if self._share() == 0:
+            self._errands.strand(self.unready())
+        self.engage()
+
+    async def _serve(self) -> None:
+        """Serve the queue over one connection until it is above this VM's share."""
+        connection: UpstreamConnection | None = None
+        try:
+            if self._recovering:
+                connection = await self._redial()
+            while self._serving <= self._share():
+                if not self._errands.pending:
+                    await self._wait()
+                elif connection is None:
+                    connection = await self.dial()
+                else:
+                    connection = await self._errands.next()(connection)
+        except UpstreamError as error:
+            self._refused(error)
+        finally:
+            self._serving -= 1
+            if connection is not None:
+                await self.drop(connection)
+
+    async def _wait(self) -> None:
+        wake: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._idle.append(wake)
+        try:
+            await wake
+        finally:
+            if wake in self._idle:
+                self._idle.remove(wake)
+
+    async def _redial(self) -> UpstreamConnection | None:
+        """Dial with growing delays; None if the upstream did not come back."""
+        try:
+            for delay in self._backoff.delays():
+                await asyncio.sleep(delay)
+                try:
+                    return await self.dial()
+                except UpstreamError as error:
+                    self._errands.note(failure_of(error))
+        finally:
+            self._recovering = False
+        return None
+
+    def _refused(self, error: UpstreamError) -> None:
+        """Leave the upstream alone after a failed dial; connections that stand go on."""
+        failure = failure_of(error)
+        self._refusal = failure.reason
+        self._errands.note(failure)
+        now = asyncio.get_running_loop().time()
+        if self._established:
+            self._dial_after = now + next(self._backoff.delays(), 0.0)
+            return
+        self._errands.strand(failure)
+        if next(self._backoff.delays(), None) is not None and not self._recovering:
+            self._recovering = True
+            self._open()
--- a/auburncart/coordination/health.py
+++ b/auburncart/coordination/health.py
@@ -1,11 +1,33 @@
 """What the replies and failures of one upstream tell of it."""
 
-from auburncart.state import Failure, FailureCode, UpstreamCondition
+from auburncart.exception import (
+    UpstreamError,
+    UpstreamMismatchError,
+    UpstreamRefusedError,
+    UpstreamShedError,
+    UpstreamTimeoutError,
+)
+from auburncart.state import Failure, FailureCode, Step, UpstreamCondition
 
-__all__ = ["UpstreamHealth"]
+__all__ = ["UpstreamHealth", "failure_of"]
 
 LATENCY_WEIGHT = 0.1  # share of a new measurement in the moving average
 
+STEPS = {step.value: step for step in Step}
+CODES: dict[type[UpstreamError], FailureCode] = {
+    UpstreamMismatchError: FailureCode.MISMATCH,
+    UpstreamRefusedError: FailureCode.REFUSED,
+    UpstreamShedError: FailureCode.SHED,
+    UpstreamTimeoutError: FailureCode.TIMED_OUT,
+}
+
+
+def failure_of(error: UpstreamError) -> Failure:
+    """Return the failure that an exception of an upstream connection stands for."""
+    step = STEPS.get(error.step, Step.REPLY)
+    other = FailureCode.UNREACHABLE if step is Step.CONNECT else FailureCode.LOST
+    return Failure(step, error.peer, error.reason, CODES.get(type(error), other), error.sent)
+
 
 class UpstreamHealth:
     """Moving average of latency, failures in a row, and the condition last reported."""
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -4,13 +4,13 @@
 import functools
 import itertools
 from collections import deque
-from collections.abc import Awaitable, Callable
 
 from eliot import write_traceback
 
 from auburncart.coordination.backoff import Backoff, NoBackoff
 from auburncart.coordination.batching import Batching
-from auburncart.coordination.health import UpstreamHealth
+from auburncart.coordination.connections import ConnectionPool, Errand, Errands
+from auburncart.coordination.health import UpstreamHealth, failure_of
 from auburncart.coordination.interfaces import UpstreamConnection, UpstreamDialer
 from auburncart.coordination.job import Job
 from auburncart.coordination.jobqueue import JobQueue
@@ -20,10 +20,6 @@
 from auburncart.coordination.quarantine import Quarantine
 from auburncart.exception import (
     UpstreamError,
-    UpstreamMismatchError,
-    UpstreamRefusedError,
-    UpstreamShedError,
-    UpstreamTimeoutError,
 )
 from auburncart.state import (
     Batch,
@@ -37,27 +33,10 @@
     UpstreamOrder,
 )
 
-__all__ = ["Upstream", "failure_of"]
+__all__ = ["Upstream"]
 
 _request_numbers = itertools.count(1)
 
-STEPS = {step.value: step for step in Step}
-CODES: dict[type[UpstreamError], FailureCode] = {
-    UpstreamMismatchError: FailureCode.MISMATCH,
-    UpstreamRefusedError: FailureCode.REFUSED,
-    UpstreamShedError: FailureCode.SHED,
-    UpstreamTimeoutError: FailureCode.TIMED_OUT,
-}
-
-Errand = Callable[[UpstreamConnection], Awaitable[UpstreamConnection | None]]
-
-
-def failure_of(error: UpstreamError) -> Failure:
-    """Return the failure that an exception of an upstream connection stands for."""
-    step = STEPS.get(error.step, Step.REPLY)
-    other = FailureCode.UNREACHABLE if step is Step.CONNECT else FailureCode.LOST
-    return Failure(step, error.peer, error.reason, CODES.get(type(error), other), error.sent)
-
 
 class _OrderErrand:
     """An order that waits for a connection."""
@@ -71,11 +50,10 @@
             self.reply.set_exception(error)
 
 
-class Upstream:
+class Upstream(Errands):
     """The queue of one upstream, served by one task for each connection.
 
-    A task first opens its connection and only then takes work, so that no job depends on one
-    dial. Cancellations and orders travel over the same connections as searches.
+    Cancellations and orders travel over the same connections as searches.
 
     :param replica: what the shard map says of it.
     :param local: whether it is in this VM's data centre.
@@ -106,25 +84,19 @@
         self._replica = replica
         self._local = local
         self._name = name
-        self._dialer = dialer
         self._limit = limit
         self._quarantine = quarantine
         self._observer = observer
         self._pressure = pressure or OpenInFlight()
-        self._backoff = backoff or NoBackoff()
         self._health = UpstreamHealth()
         self._queue = JobQueue(replica, batching, quarantine)
         self._orders: deque[_OrderErrand] = deque()
         self._cancels: deque[str] = deque()
         self._running: dict[str, tuple[Job, ...]] = {}
-        self._idle: deque[asyncio.Future[None]] = deque()
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._serving = 0
-        self._established = 0
-        self._dial_after = 0.0
         self._timer: asyncio.TimerHandle | None = None
-        self._recovering = False
-        self._closing = False
+        self._pool = ConnectionPool(
+            replica, dialer, self._share, backoff or NoBackoff(), self, observer
+        )
 
     @property
     def replica(self) -> Replica:
@@ -154,7 +126,7 @@
     @property
     def connections(self) -> int:
         """Number of connections held or being opened."""
-        return len(self._tasks)
+        return self._pool.connections
 
     @property
     def latency(self) -> float:
@@ -184,7 +156,7 @@
     @property
     def ready(self) -> bool:
         """Whether a job given to it now can be taken up: it is not being waited for to recover."""
-        return not (self._closing or self._recovering or self._share() == 0)
+        return self._pool.ready
 
     @property
     def free(self) -> bool:
@@ -197,10 +169,10 @@
         """Put a job into the queue and see that a connection takes it."""
         job.queued_at = asyncio.get_running_loop().time()
         if not self.ready:
-            job.fail(self._unready())
+            job.fail(self._pool.unready())
             return
         self._queue.add(job)
-        self._engage()
+        self._pool.engage()
 
     def cancel(self, job: Job) -> None:
         """Forget a job; if nobody waits for its request any more, tell the upstream.
@@ -214,7 +186,7 @@
         jobs = self._running.get(job.request_id, ())
         if jobs and all(other.cancelled for other in jobs):
             self._cancels.append(job.request_id)
-            self._engage()
+            self._pool.engage()
 
     async def order(self, order: UpstreamOrder) -> OrderReply:
         """Send an order once, over a new connection within this VM's share.
@@ -222,11 +194,11 @@
         :raises UpstreamError: no matching reply.
         """
         if not self.ready:
-            failure = self._unready()
+            failure = self._pool.unready()
             raise UpstreamError(failure.reason, step="connect", peer=self.address, sent=False)
         errand = _OrderErrand(order)
         self._orders.append(errand)
-        self._engage()
+        self._pool.engage()
         wait = order.deadline - asyncio.get_running_loop().time()
         await asyncio.wait((errand.reply,), timeout=wait)
         if errand in self._orders:
@@ -245,139 +217,31 @@
 
     def trim(self) -> None:
         """Close idle connections above this VM's share, after the share has changed."""
-        for _ in range(self._serving - self._share()):
-            self._wake()
-        if self._share() == 0:
-            self.withdraw(self._unready())
-        self._engage()
+        self._pool.trim()
 
     async def close(self) -> None:
         """End all connections; jobs in the queue or at work fail."""
-        self._closing = True
         if self._timer is not None:
             self._timer.cancel()
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        self._fail_waiting(self._unready())
+        await self._pool.close()
 
     def _share(self) -> int:
         return self._limit.connections(self._replica)
 
-    def _unready(self) -> Failure:
-        reason = "closed" if self._closing else "this VM has no connection to it"
-        if self._recovering and self._health.last_failure is not None:
-            reason = f"not dialled again yet after: {self._health.last_failure.reason}"
-        return Failure(Step.CONNECT, self.address, reason, FailureCode.UNREACHABLE, False)
-
-    def _fail_waiting(self, failure: Failure) -> None:
+    def strand(self, failure: Failure) -> None:
+        """Fail all jobs in the queue and all orders that wait; none was sent."""
         self._queue.fail_all(failure)
         while self._orders:
             error = UpstreamError(failure.reason, step="connect", peer=self.address, sent=False)
             self._orders.popleft().fail(error)
 
-    def _engage(self) -> None:
-        """See that a connection takes up what waits, if one may."""
-        if not self._has_errand() or self._wake():
-            return
-        now = asyncio.get_running_loop().time()
-        may_open = self._serving < self._share() and not self._closing and not self._recovering
-        if may_open and now >= self._dial_after:
-            self._open()
-
-    def _wake(self) -> bool:
-        while self._idle:
-            idle = self._idle.popleft()
-            if not idle.done():
-                idle.set_result(None)
-                return True
-        return False
-
-    def _open(self) -> None:
-        self._serving += 1
-        task = asyncio.create_task(self._serve(), name=f"upstream {self.address}")
-        self._tasks.add(task)
-        task.add_done_callback(self._closed)
-        self._observer.connections_changed(self.address, self.connections)
-
-    def _closed(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        self._observer.connections_changed(self.address, self.connections)
-        if self._closing:
-            return
-        if self._share() == 0:
-            self._fail_waiting(self._unready())
-        self._engage()
-
-    async def _serve(self) -> None:
-        """Serve the queue over one connection until it is above this VM's share."""
-        connection: UpstreamConnection | None = None
-        try:
-            if self._recovering:
-                connection = await self._redial()
-            while self._serving <= self._share():
-                if not self._has_errand():
-                    await self._wait()
-                elif connection is None:
-                    connection = await self._dial()
-                else:
-                    connection = await self._next_errand()(connection)
-        except UpstreamError as error:
-            self._refused(error)
-        finally:
-            self._serving -= 1
-            if connection is not None:
-                await self._drop(connection)
-
-    async def _wait(self) -> None:
-        wake: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._idle.append(wake)
-        try:
-            await wake
-        finally:
-            if wake in self._idle:
-                self._idle.remove(wake)
-
-    async def _dial(self) -> UpstreamConnection:
-        connection = await self._dialer.connect(self._replica)
-        self._established += 1
-        return connection
-
-    async def _redial(self) -> UpstreamConnection | None:
-        """Dial with growing delays; None if the upstream did not come back."""
-        try:
-            for delay in self._backoff.delays():
-                await asyncio.sleep(delay)
-                try:
-                    return await self._dial()
-                except UpstreamError as error:
-                    self._note(failure_of(error))
-        finally:
-            self._recovering = False
-        return None
-
-    async def _drop(self, connection: UpstreamConnection) -> None:
-        self._established -= 1
-        await connection.close()
-
-    def _refused(self, error: UpstreamError) -> None:
-        """Leave the upstream alone after a failed dial; connections that stand go on."""
-        failure = failure_of(error)
-        self._note(failure)
-        now = asyncio.get_running_loop().time()
-        if self._established:
-            self._dial_after = now + next(self._backoff.delays(), 0.0)
-            return
-        self._fail_waiting(failure)
-        if next(self._backoff.delays(), None) is not None and not self._recovering:
-            self._recovering = True
-            self._open()
-
-    def _note(self, failure: Failure) -> None:
+    def note(self, failure: Failure) -> None:
+        """Take in that a dial failed."""
         self._health.record_failure(failure, asyncio.get_running_loop().time())
 
-    def _has_errand(self) -> bool:
+    @property
+    def pending(self) -> bool:
+        """Whether a connection would find something to do now."""
         return bool(self._cancels or self._orders or self._may_start())
 
     def _may_start(self) -> bool:
@@ -393,12 +257,13 @@
         at = self._pressure.resumes_at()
         if at <= now or (self._timer is not None and self._timer.when() >= now):
             return
-        self._timer = asyncio.get_running_loop().call_at(at, self._engage)
+        self._timer = asyncio.get_running_loop().call_at(at, self._pool.engage)
 
     def _isolated_at_work(self) -> bool:
         return any(jobs[0].isolated for jobs in self._running.values())
 
-    def _next_errand(self) -> Errand:
+    def next(self) -> Errand:
+        """Take the next errand: a cancellation, an order, then the jobs of one request."""
         if self._cancels:
             return functools.partial(self._tell, self._cancels.popleft())
         if self._orders:
@@ -415,7 +280,7 @@
         try:
             await connection.cancel(request_id)
         except UpstreamError:
-            await self._drop(connection)
+            await self._pool.drop(connection)
             return None
         return connection
 
@@ -423,10 +288,10 @@
         self, errand: _OrderErrand, connection: UpstreamConnection
     ) -> UpstreamConnection | None:
         """Send an order over a new connection: a kept one may turn out to be stale too late."""
-        await self._drop(connection)
+        await self._pool.drop(connection)
         fresh: UpstreamConnection | None = None
         try:
-            fresh = await self._dial()
+            fresh = await self._pool.dial()
             reply = await fresh.order(errand.order)
         except UpstreamError as error:
             errand.fail(error)
@@ -438,7 +303,7 @@
                 errand.reply.set_result(reply)
             return fresh
         if fresh is not None:
-            await self._drop(fresh)
+            await self._pool.drop(fresh)
         return None
 
     async def _search(
@@ -462,7 +327,7 @@
             self._lose(jobs, Failure(Step.REPLY, self.address, reason, FailureCode.MISMATCH))
         finally:
             del self._running[batch.request_id]
-        await self._drop(connection)
+        await self._pool.drop(connection)
         return None
 
     def _batch(self, jobs: tuple[Job, ...]) -> Batch:
