Gather: retries by a state table, hedges and moves, a first shard that tests a query

One defect of the baseline is mended on the way: RetryThrice counted distinct upstreams, so that a shard with two replicas was tried again without end until the deadline.

--- a/auburncart/coordination/gather.py
+++ b/auburncart/coordination/gather.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 
+from auburncart.coordination.asks import Ask, Asks, Due
 from auburncart.coordination.fleet import Fleet
 from auburncart.coordination.job import Job, JobResult
 from auburncart.coordination.mailbox import Mailbox
@@ -11,6 +12,7 @@
 from auburncart.state import (
     Failure,
     FailureCode,
+    QueryRun,
     Rank,
     SearchAnswer,
     SearchRequest,
@@ -19,22 +21,26 @@
     Step,
     SubQuery,
     coverage_of,
+    query_digest,
 )
 
 __all__ = ["Gather"]
 
 _sub_numbers = itertools.count(1)
 
-
-class _Ask:
-    """What is known of one shard of the search."""
-
-    __slots__ = ("hedge_at", "jobs", "tried")
-
-    def __init__(self) -> None:
-        self.tried: set[str] = set()
-        self.jobs: list[Job] = []
-        self.hedge_at: float | None = None
+MOST_CANARIES = 2
+CANARY_SECONDS = 0.03  # time after which a second shard tests the query too
+QUARANTINED = Failure(
+    Step.ROUTE,
+    "",
+    "not sent: upstreams were lost while they ran this query",
+    FailureCode.QUARANTINED,
+    False,
+)
+UNTESTED = Failure(
+    Step.ROUTE, "", "not sent: no shard answered a first try", FailureCode.TIMED_OUT, False
+)
+NO_UPSTREAM = Failure(Step.ROUTE, "", "no upstream to ask", FailureCode.UNREACHABLE, False)
 
 
 class Gather:
@@ -61,135 +67,261 @@
         self._rank = rank
         self._fleet = fleet
         self._policies = policies
+        self._digest = query_digest(request.kind, request.query)
         self._mailbox: Mailbox[JobResult] = Mailbox()
-        self._open: dict[str, _Ask] = {}
+        self._asks = Asks()
+        self._lost: list[Ask] = []
         self._answers: dict[str, ShardAnswer] = {}
         self._failures: dict[str, Failure] = {}
 
     @property
     def retired(self) -> bool:
-        """Whether an upstream said that it no longer has the pinned snapshot or shard."""
-        codes = {failure.code for failure in self._failures.values()}
+        """Whether a shard has no answer because upstreams no longer have it or its snapshot."""
+        codes = {
+            failure.code for name, failure in self._failures.items() if name not in self._answers
+        }
         return bool(codes & {FailureCode.RETIRED, FailureCode.MOVED})
 
     async def run(self) -> SearchAnswer:
         """Ask all shards and return what arrived before the deadline."""
         try:
-            self._ask_all()
-            await self._collect()
+            await self._test()
+            self._ask_rest()
+            while self._asks and await self._step(self._request.deadline):
+                pass
         finally:
             self._cancel_rest()
         hits = tuple(hit for name in self._names for hit in self._hits_of(name))
         coverage = coverage_of(self._names, self._answers, self._failures)
         return SearchAnswer(self._request.request_id, self._map.snapshot, hits, coverage)
 
-    def _ask_all(self) -> None:
-        self._policies.hedging.record_sent(len(self._names))
-        self._policies.retrying.record_sent(len(self._names))
+    async def _test(self) -> None:
+        """See that one shard answers before the others are asked, if the query is untested."""
+        quarantine = self._policies.quarantine
+        run = self._run(self._names[0])
+        if not quarantine.untested(run, self._now()):
+            return
+        if await quarantine.take_turn(run, self._request.deadline):
+            try:
+                await self._try_shards(run)
+            finally:
+                quarantine.end_turn(run)
+
+    async def _try_shards(self, run: QueryRun) -> None:
+        quarantine = self._policies.quarantine
+        untried = [Ask(name) for name in sorted(set(self._names), key=self._test_order)]
+        next_at = self._now()
+        going_on = True
+        while going_on and quarantine.untested(run, self._now()):
+            if quarantine.refuses(run, self._now()) or not (untried or self._asks):
+                return
+            if untried and self._now() >= next_at and self._may_test(run):
+                ask = untried.pop(0)
+                self._start(ask)
+                next_at = self._now() + self._patience(ask)
+            open_before = len(self._asks)
+            until = next_at if untried and self._may_test(run) else self._request.deadline
+            going_on = await self._step(until)
+            if self._lost:
+                untried += self._lost
+                self._lost.clear()
+                next_at = self._now() + quarantine.delay(run, self._now())
+            elif len(self._asks) < open_before:
+                next_at = self._now()
+
+    def _may_test(self, run: QueryRun) -> bool:
+        suspect = self._policies.quarantine.delay(run, self._now()) > 0
+        return len(self._asks) < (1 if suspect else MOST_CANARIES)
+
+    def _test_order(self, name: str) -> str:
+        """Return a key by which all VMs test a query on the same shards in the same order."""
+        return query_digest(self._digest, name)
+
+    def _patience(self, ask: Ask) -> float:
+        if ask.jobs:
+            upstream = self._fleet.get(ask.jobs[0].address)
+            if upstream is not None:
+                delay = self._policies.hedging.delay(self._rank, upstream)
+                return CANARY_SECONDS if delay is None else delay
+        return CANARY_SECONDS
+
+    def _ask_rest(self) -> None:
+        run = self._run(self._names[0])
+        tested = not self._policies.quarantine.untested(run, self._now())
+        refused = self._policies.quarantine.refuses(run, self._now())
         for name in self._names:
-            self._open[name] = _Ask()
-            self._send(name, "first")
-
-    async def _collect(self) -> None:
-        loop = asyncio.get_running_loop()
-        while self._open and loop.time() < self._request.deadline:
-            results = await self._mailbox.take(self._next_time())
-            for result in results:
-                self._settle(result)
-            self._hedge_due(loop.time())
-
-    def _next_time(self) -> float:
-        hedges = [ask.hedge_at for ask in self._open.values() if ask.hedge_at is not None]
-        return min([self._request.deadline, *hedges])
-
-    def _send(self, name: str, reason: str) -> bool:
-        ask = self._open[name]
-        upstream = self._choose(name, ask)
+            if name in self._asks or name in self._answers or name in self._failures:
+                continue
+            if tested or refused:
+                self._start(Ask(name))
+            else:
+                self._failures[name] = UNTESTED
+
+    async def _step(self, until: float) -> bool:
+        """Take in what arrives, and do what is due.
+
+        :param until: loop time in seconds at which to stop waiting.
+        :return: whether the deadline lies ahead.
+        """
+        at = min(until, self._request.deadline, self._asks.next_time())
+        results = await self._mailbox.take(at)
+        for result in results:
+            self._settle(result)
+        now = self._now() if results else max(at, self._now())
+        for ask in self._asks.take_due(now):
+            if ask.due is Due.RETRY:
+                self._send(ask, "retry")
+            else:
+                self._hedge(ask)
+        return now < self._request.deadline
+
+    def _start(self, ask: Ask) -> None:
+        self._policies.hedging.record_sent(1)
+        self._policies.retrying.record_sent(1)
+        self._asks.add(ask)
+        self._send(ask, "first" if ask.tries == 0 else "retry")
+
+    def _send(self, ask: Ask, reason: str) -> None:
+        now = self._now()
+        if self._policies.quarantine.refuses(self._run(ask.name), now):
+            self._give_up(ask, QUARANTINED)
+            return
+        upstream = self._choose(ask, ask.other_only)
+        ask.tries += 1
         if upstream is None:
-            return False
+            self._failed(ask, self._no_upstream(ask))
+        else:
+            self._submit(ask, upstream, reason)
+
+    def _submit(self, ask: Ask, upstream: Upstream, reason: str) -> None:
         sub = SubQuery(
             f"{self._request.request_id}.{next(_sub_numbers)}",
-            name,
+            ask.name,
             self._map.snapshot,
             self._request.kind,
             self._request.query,
             self._request.deadline,
         )
-        job = Job(sub, self._rank, reason, self._mailbox, upstream.address)
+        job = Job(sub, self._rank, reason, self._mailbox, upstream.address, self._run(ask.name))
         ask.tried.add(upstream.address)
         ask.jobs.append(job)
-        ask.hedge_at = self._hedge_time(upstream)
+        delay = self._policies.hedging.delay(self._rank, upstream)
+        if delay is not None:
+            ask.wait = delay
+            self._asks.schedule(ask, Due.HEDGE, self._now() + delay)
         upstream.submit(job)
-        return True
 
-    def _choose(self, name: str, ask: _Ask) -> Upstream | None:
-        now = asyncio.get_running_loop().time()
-        candidates = self._fleet.candidates(self._map.shards[name])
+    def _choose(self, ask: Ask, fresh_only: bool) -> Upstream | None:
+        now = self._now()
+        candidates = self._usable(ask.name, now)
         fresh = [upstream for upstream in candidates if upstream.address not in ask.tried]
-        chosen = self._policies.choice.choose(fresh, now)
-        if chosen is None and not ask.jobs:
+        chosen = self._policies.choice.choose(fresh, now) if fresh else None
+        if chosen is None and not fresh_only and candidates:
             chosen = self._policies.choice.choose(candidates, now)
-        if chosen is None and not ask.jobs:
-            self._failures.setdefault(name, Failure(Step.ROUTE, "", "no upstream to ask"))
-            del self._open[name]
         return chosen
 
-    def _hedge_time(self, upstream: Upstream) -> float | None:
-        delay = self._policies.hedging.delay(self._rank, upstream)
-        return None if delay is None else asyncio.get_running_loop().time() + delay
-
-    def _hedge_due(self, now: float) -> None:
-        due = [
-            name
-            for name, ask in self._open.items()
-            if ask.hedge_at is not None and ask.hedge_at <= now
-        ]
-        for name in due:
-            self._open[name].hedge_at = None
-            if self._policies.hedging.allow(self._rank):
-                self._send(name, "hedge")
+    def _usable(self, name: str, now: float) -> list[Upstream]:
+        candidates = self._fleet.candidates(self._map.shards[name])
+        ready = [upstream for upstream in candidates if upstream.ready]
+        return self._policies.draining.usable(ready, now)
+
+    def _no_upstream(self, ask: Ask) -> Failure:
+        """Return why no upstream of a shard can be asked now."""
+        if ask.name in self._failures:
+            return self._failures[ask.name]._replace(sent=False)
+        for upstream in self._fleet.candidates(self._map.shards[ask.name]):
+            if not upstream.ready and upstream.last_failure is not None:
+                return upstream.last_failure._replace(sent=False)
+        return NO_UPSTREAM
+
+    def _hedge(self, ask: Ask) -> None:
+        """Move or hedge a shard that is late, or look again later."""
+        target = self._choose(ask, fresh_only=True)
+        if target is None:
+            return
+        hedging = self._policies.hedging
+        if not any(job.sent for job in ask.jobs) and hedging.moves(target):
+            reason = ask.jobs[0].reason
+            self._cancel(ask)
+            self._submit(ask, target, reason)
+        elif not self._isolated(ask) and hedging.allow(self._rank, target):
+            self._submit(ask, target, "hedge")
+        else:
+            ask.wait *= 2
+            self._asks.schedule(ask, Due.HEDGE, self._now() + ask.wait)
+
+    def _isolated(self, ask: Ask) -> bool:
+        return self._policies.quarantine.isolates(self._run(ask.name), self._now())
 
     def _settle(self, result: JobResult) -> None:
-        name = result.job.sub.shard
-        ask = self._open.get(name)
+        ask = self._asks.get(result.job.sub.shard)
         if ask is None or result.job not in ask.jobs:
             return
         ask.jobs.remove(result.job)
         if result.answer is not None:
-            self._accept(name, ask, result)
+            self._accept(ask, result.job, result.answer)
         elif result.failure is not None:
-            self._failed(name, ask, result.failure)
+            self._failed(ask, result.failure)
 
-    def _accept(self, name: str, ask: _Ask, result: JobResult) -> None:
-        assert result.answer is not None
-        now = asyncio.get_running_loop().time()
-        upstream = self._fleet.get(result.job.address)
-        if upstream is not None:
-            self._policies.hedging.record_latency(upstream, now - result.job.sent_at)
-        self._answers[name] = result.answer
+    def _accept(self, ask: Ask, job: Job, answer: ShardAnswer) -> None:
+        self._record_time(job)
+        self._answers[ask.name] = answer
         self._cancel(ask)
-        del self._open[name]
+        self._asks.settle(ask)
 
-    def _failed(self, name: str, ask: _Ask, failure: Failure) -> None:
-        self._failures[name] = failure
+    def _failed(self, ask: Ask, failure: Failure) -> None:
+        self._failures[ask.name] = failure
         if ask.jobs:
             return
-        now = asyncio.get_running_loop().time()
-        if not self._policies.retrying.allow(len(ask.tried), failure, now, self._request.deadline):
-            del self._open[name]
+        if failure.code is FailureCode.LOST and self._untested(ask):
+            del self._failures[ask.name]
+            self._asks.settle(ask)
+            self._lost.append(ask)
             return
-        self._send(name, "retry")
+        self._retry(ask, failure)
+
+    def _untested(self, ask: Ask) -> bool:
+        return self._policies.quarantine.untested(self._run(ask.name), self._now())
+
+    def _retry(self, ask: Ask, failure: Failure) -> None:
+        now = self._now()
+        usable = self._usable(ask.name, now)
+        fresh = any(upstream.address not in ask.tried for upstream in usable)
+        plan = self._policies.retrying.plan(ask.tries, failure, fresh, now, self._request.deadline)
+        if plan is None:
+            self._give_up(ask, failure)
+            return
+        ask.other_only = plan.other_only
+        self._asks.schedule(ask, Due.RETRY, now + plan.delay)
+
+    def _give_up(self, ask: Ask, failure: Failure) -> None:
+        self._failures[ask.name] = failure
+        self._asks.settle(ask)
 
-    def _cancel(self, ask: _Ask) -> None:
+    def _cancel(self, ask: Ask) -> None:
         for job in ask.jobs:
+            self._record_time(job)
             upstream = self._fleet.get(job.address)
             if upstream is not None:
                 upstream.cancel(job)
+        ask.jobs.clear()
 
     def _cancel_rest(self) -> None:
-        for ask in self._open.values():
+        for ask in self._asks:
             self._cancel(ask)
 
+    def _record_time(self, job: Job) -> None:
+        upstream = self._fleet.get(job.address)
+        if upstream is not None:
+            seconds = self._now() - job.queued_at
+            self._policies.hedging.record_latency(self._rank, upstream, seconds)
+
+    def _run(self, name: str) -> QueryRun:
+        return QueryRun(self._digest, self._map.snapshot, name)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
     def _hits_of(self, name: str) -> tuple:
         answer = self._answers.get(name)
         return answer.hits if answer else ()
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -110,4 +110,6 @@
             limit=self._policies.limit,
             quarantine=self._policies.quarantine,
             observer=self._observer,
+            pressure=self._policies.pressure(),
+            backoff=self._policies.backoff,
         )
--- a/auburncart/coordination/quarantine.py
+++ b/auburncart/coordination/quarantine.py
@@ -22,6 +22,22 @@
     def untested(self, run: QueryRun, now: float) -> bool:
         """Return whether one shard must answer a query before the others are asked."""
 
+    @abstractmethod
+    def delay(self, run: QueryRun, now: float) -> float:
+        """Return the seconds after which an untested query that was lost may be sent again."""
+
+    @abstractmethod
+    async def take_turn(self, run: QueryRun, until: float) -> bool:
+        """Wait until no other search on this VM tests the same query.
+
+        :param until: loop time in seconds at which to give up.
+        :return: whether the turn was given; then it must be ended.
+        """
+
+    @abstractmethod
+    def end_turn(self, run: QueryRun) -> None:
+        """Let the next search test the query, or go on without if it is tested now."""
+
     @abstractmethod
     def record_loss(
         self, address: str, runs: tuple[QueryRun, ...], trial: bool, now: float
@@ -54,6 +70,17 @@
         """Return False."""
         return False
 
+    def delay(self, run: QueryRun, now: float) -> float:
+        """Return 0."""
+        return 0.0
+
+    async def take_turn(self, run: QueryRun, until: float) -> bool:
+        """Return True."""
+        return True
+
+    def end_turn(self, run: QueryRun) -> None:
+        """Do nothing."""
+
     def record_loss(
         self, address: str, runs: tuple[QueryRun, ...], trial: bool, now: float
     ) -> None:
--- a/auburncart/state/fact.py
+++ b/auburncart/state/fact.py
@@ -22,12 +22,14 @@
 
     :param digest: digest of the query's kind and text.
     :param address: the upstream.
-    :param alone: whether the query was the only one in its request.
+    :param alone: whether the query was the only one in its request, because it had to be.
+    :param shard: the shard that was asked.
     """
 
     digest: str
     address: str
     alone: bool
+    shard: str = ""
 
 
 FACTS: tuple[type[tuple[Any, ...]], ...] = (TableNews, QueryLoss)
