--- a/auburncart/coordination/connections.py
+++ b/auburncart/coordination/connections.py
@@ -5,6 +5,8 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 
+from eliot import write_traceback
+
 from auburncart.coordination.backoff import Backoff
 from auburncart.coordination.health import failure_of
 from auburncart.coordination.interfaces import UpstreamConnection, UpstreamDialer
@@ -174,7 +176,10 @@
                 else:
                     connection = await self._errands.next()(connection)
         except UpstreamError as error:
-            self._refused(error)
+            self._refused(failure_of(error))
+        except Exception as error:
+            write_traceback()
+            self._refused(self._unexpected(error))
         finally:
             self._serving -= 1
             if connection is not None:
@@ -202,9 +207,12 @@
             self._recovering = False
         return None
 
-    def _refused(self, error: UpstreamError) -> None:
+    def _unexpected(self, error: Exception) -> Failure:
+        reason = f"unexpected {type(error).__name__}: {error}"
+        return Failure(Step.CONNECT, self._replica.address, reason, FailureCode.UNREACHABLE, False)
+
+    def _refused(self, failure: Failure) -> None:
         """Leave the upstream alone after a failed dial; connections that stand go on."""
-        failure = failure_of(error)
         self._refusal = failure.reason
         self._errands.note(failure)
         now = asyncio.get_running_loop().time()
--- a/auburncart/coordination/tests/test_upstream.py
+++ b/auburncart/coordination/tests/test_upstream.py
@@ -142,6 +142,23 @@
         self.assertEqual((len(failed), len(served)), (2, 1))
         self.assertIsNotNone(served[0].answer)
 
+    @virtual_time
+    async def test_unexpected_error_of_a_dial_fails_the_jobs_once(self) -> None:
+        bench = Bench(connections=2)
+        dials: list[Replica] = []
+
+        async def broken(replica: Replica) -> None:
+            dials.append(replica)
+            raise TypeError("fault of a dialer")
+
+        bench.dialer.connect = broken  # type: ignore[assignment,method-assign]
+        bench.submit(5)
+        results = await bench.results(5, 0.1)
+        await asyncio.sleep(1.0)
+        await bench.upstream.close()
+        self.assertEqual([result.failure.code for result in results], [FailureCode.UNREACHABLE] * 5)
+        self.assertLessEqual(len(dials), 2)
+
     @virtual_time
     async def test_cancelled_job_leaves_the_queue_at_once(self) -> None:
         bench = Bench(connections=1)
--- a/auburncart/scenario/pause.py
+++ b/auburncart/scenario/pause.py
@@ -70,6 +70,9 @@
     async def order(self, order: UpstreamOrder) -> OrderReply:
         return await self._freezer.through(self._connection.order(order))
 
+    async def cancel(self, request_id: str) -> None:
+        await self._freezer.through(self._connection.cancel(request_id))
+
     async def close(self) -> None:
         await self._connection.close()
 
@@ -85,7 +88,3 @@
         """Open a connection."""
         connection = await self._freezer.through(self._dialer.connect(replica))
         return _FrozenConnection(connection, self._freezer)
-
-    async def cancel(self, replica: Replica, request_id: str) -> None:
-        """Tell an upstream that nobody waits."""
-        await self._freezer.through(self._dialer.cancel(replica, request_id))
