--- /dev/null
+++ b/auburncart/coordination/tests/test_retry.py
@@ -0,0 +1,138 @@
+"""Retries: by kind of failure, within a budget, never a storm, recovery found soon."""
+
+import asyncio
+import unittest
+
+from auburncart.coordination import baseline_policies
+from auburncart.coordination.backoff import JitteredBackoff
+from auburncart.coordination.retry import BudgetedRetrying, RetryThrice
+from auburncart.state import Failure, FailureCode, Step, UpstreamCondition
+from auburncart.tests.site import Site, search_request
+from auburncart.tests.virtual import virtual_time
+
+
+def budgeted_policies():  # type: ignore[no-untyped-def]
+    return baseline_policies(places=64, vms=3)._replace(
+        retrying=BudgetedRetrying(seed=1), backoff=JitteredBackoff(seed=1)
+    )
+
+
+def failure(code: FailureCode, sent: bool = True) -> Failure:
+    return Failure(Step.REPLY, "10.0.0.1:80", "test", code, sent)
+
+
+class CountedSite(Site):
+    """A site that counts dials."""
+
+    def __init__(self, **kwargs) -> None:  # type: ignore[no-untyped-def]
+        super().__init__(**kwargs)
+        self.dials: list[tuple[str, float]] = []
+        connect = self.dialer.connect
+
+        async def counted(replica):  # type: ignore[no-untyped-def]
+            self.dials.append((replica.address, asyncio.get_running_loop().time()))
+            return await connect(replica)
+
+        self.dialer.connect = counted  # type: ignore[method-assign]
+
+    async def load(self, searches: int, gap: float, first: int = 0) -> list:  # type: ignore[type-arg]
+        """Start searches at a fixed rate and return their answers."""
+        tasks = []
+        for number in range(first, first + searches):
+            tasks.append(asyncio.create_task(self.searches.search(search_request(number))))
+            await asyncio.sleep(gap)
+        return [(await task).ok for task in tasks]
+
+    def sent(self) -> int:
+        return sum(model.sub_queries for model in self.models.values())
+
+
+class RetryTest(unittest.TestCase):
+    @virtual_time
+    async def test_baseline_tries_thrice_even_with_two_replicas(self) -> None:
+        site = CountedSite(shards=1)
+        for model in site.models.values():
+            model.set_condition(UpstreamCondition.SHEDDING)
+        await site.load(1, 0.5)
+        await site.close()
+        self.assertEqual(site.sent(), 3)
+
+    @virtual_time
+    async def test_no_storm_while_every_replica_of_a_service_is_down(self) -> None:
+        site = CountedSite(shards=3, policies=budgeted_policies())
+        for copy in range(2):
+            site.models[f"10.0.1.{copy}:80"].kill()
+        answers = await site.load(500, 0.01)
+        await site.close()
+        dials = [at for address, at in site.dials if address.startswith("10.0.1.")]
+        self.assertEqual({answer.coverage.answered for answer in answers}, {2})
+        self.assertEqual(site.sent(), 1000)
+        # Two replicas, five seconds, at most a dial each half second after the first few.
+        self.assertLessEqual(len(dials), 2 * (5 + 10))
+
+    @virtual_time
+    async def test_upstream_that_returns_gets_work_within_two_seconds(self) -> None:
+        site = CountedSite(shards=1, policies=budgeted_policies())
+        for model in site.models.values():
+            model.kill()
+        await site.load(1000, 0.01)
+        for model in site.models.values():
+            model.restart()
+        before = asyncio.get_running_loop().time()
+        while not (await site.searches.search(search_request())).ok.coverage.complete:
+            await asyncio.sleep(0.05)
+        took = asyncio.get_running_loop().time() - before
+        await site.close()
+        self.assertLessEqual(took, 2.0)
+
+    @virtual_time
+    async def test_retries_stay_within_a_tenth_while_every_replica_sheds(self) -> None:
+        site = CountedSite(shards=4, policies=budgeted_policies())
+        for model in site.models.values():
+            model.set_condition(UpstreamCondition.SHEDDING)
+        await site.load(500, 0.01)
+        await site.close()
+        self.assertLessEqual(site.sent(), 2000 * 1.1)
+
+    @virtual_time
+    async def test_one_replica_tried_again_after_a_pause_before_the_deadline(self) -> None:
+        site = CountedSite(shards=1, replicas=1, policies=budgeted_policies())
+        model = site.models["10.0.0.0:80"]
+        model.set_condition(UpstreamCondition.SHEDDING)
+        search = asyncio.create_task(site.searches.search(search_request()))
+        await asyncio.sleep(0.009)
+        model.set_condition(UpstreamCondition.READY)
+        answer = (await search).ok
+        await site.close()
+        self.assertTrue(answer.coverage.complete)
+        self.assertEqual(site.sent(), 2)
+
+    def test_state_table_says_where_each_kind_of_failure_goes(self) -> None:
+        retrying = BudgetedRetrying(seed=1)
+        for code in FailureCode:
+            fresh = retrying.plan(1, failure(code), True, 0.0, 1.0)
+            same = retrying.plan(1, failure(code), False, 0.0, 1.0)
+            self.assertEqual(fresh is None, code is FailureCode.QUARANTINED, code)
+            again = {
+                FailureCode.UNREACHABLE,
+                FailureCode.LOST,
+                FailureCode.SHED,
+                FailureCode.MISMATCH,
+            }
+            self.assertEqual(same is not None, code in again, code)
+            if same is not None:
+                self.assertGreater(same.delay, 0.0)
+
+    def test_never_past_the_deadline_and_unsent_work_costs_no_token(self) -> None:
+        retrying = BudgetedRetrying(reserve=0.0, seed=1)
+        self.assertIsNone(retrying.plan(1, failure(FailureCode.LOST), True, 0.0, 1.0))
+        unsent = failure(FailureCode.UNREACHABLE, sent=False)
+        self.assertIsNotNone(retrying.plan(1, unsent, True, 0.0, 1.0))
+        self.assertIsNone(retrying.plan(1, unsent, True, 0.999, 1.0))
+        retrying.record_sent(20)
+        self.assertIsNotNone(retrying.plan(1, failure(FailureCode.LOST), True, 0.0, 1.0))
+        self.assertIsNone(RetryThrice().plan(3, unsent, True, 0.0, 1.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
