--- a/auburncart/coordination/connections.py
+++ b/auburncart/coordination/connections.py
@@ -80,6 +80,7 @@
         self._recovering = False
         self._closing = False
         self._refusal = ""
+        self._refused_since: float | None = None
 
     @property
     def connections(self) -> int:
@@ -91,6 +92,11 @@
         """Whether an errand can be taken up now."""
         return not (self._closing or self._recovering or self._share() == 0)
 
+    @property
+    def refused_since(self) -> float | None:
+        """Loop time in seconds of the first refused dial since the last good one, or None."""
+        return self._refused_since
+
     def unready(self) -> Failure:
         """Return the failure of an errand that can't be taken up."""
         reason = "closed" if self._closing else "this VM may hold no connection to it"
@@ -131,6 +137,7 @@
         """
         connection = await self._dialer.connect(self._replica)
         self._established.add(connection)
+        self._refused_since = None
         return connection
 
     async def drop(self, connection: UpstreamConnection) -> None:
@@ -214,6 +221,7 @@
     def _refused(self, failure: Failure) -> None:
         """Leave the upstream alone after a failed dial; connections that stand go on."""
         self._refusal = failure.reason
+        self._refused_since = self._refused_since or asyncio.get_running_loop().time()
         self._errands.note(failure)
         now = asyncio.get_running_loop().time()
         if self._established:
--- a/auburncart/coordination/gather.py
+++ b/auburncart/coordination/gather.py
@@ -30,6 +30,7 @@
 
 MOST_CANARIES = 2
 CANARY_SECONDS = 0.03  # time after which a second shard tests the query too
+OUTAGE_SECONDS = 1.0  # time for which searches wait for a shard without any upstream
 QUARANTINED = Failure(
     Step.ROUTE,
     "",
@@ -286,6 +287,9 @@
     def _retry(self, ask: Ask, failure: Failure) -> None:
         now = self._now()
         usable = self._usable(ask.name, now)
+        if not usable and self._hopeless(ask, now):
+            self._give_up(ask, failure)
+            return
         fresh = any(upstream.address not in ask.tried for upstream in usable)
         plan = self._policies.retrying.plan(ask.tries, failure, fresh, now, self._request.deadline)
         if plan is None:
@@ -294,6 +298,14 @@
         ask.other_only = plan.other_only
         self._asks.schedule(ask, Due.RETRY, now + plan.delay)
 
+    def _hopeless(self, ask: Ask, now: float) -> bool:
+        """Return whether all upstreams of a shard have refused connections for a while."""
+        since = [
+            upstream.refused_since
+            for upstream in self._fleet.candidates(self._map.shards[ask.name])
+        ]
+        return all(at is not None and now - at > OUTAGE_SECONDS for at in since)
+
     def _give_up(self, ask: Ask, failure: Failure) -> None:
         self._failures[ask.name] = failure
         self._asks.settle(ask)
--- a/auburncart/coordination/hedge.py
+++ b/auburncart/coordination/hedge.py
@@ -13,7 +13,7 @@
 HEDGE_RATIO = 0.05  # hedges for each first try
 HEDGE_RESERVE = 10.0  # tokens at the start
 MAX_TOKENS = 50.0
-HEDGE_PERCENTILE = 95.0
+HEDGE_PERCENTILE = 96.0
 SHORTEST_DELAY_SECONDS = 0.002
 
 # Tokens that a rank leaves to those above it, as a share of the most that there can be.
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -158,6 +158,11 @@
         """Whether a job given to it now can be taken up: it is not being waited for to recover."""
         return self._pool.ready
 
+    @property
+    def refused_since(self) -> float | None:
+        """Loop time in seconds of the first refused dial since the last good one, or None."""
+        return self._pool.refused_since
+
     @property
     def free(self) -> bool:
         """Whether a job given to it now starts without waiting for another."""
