--- a/auburncart/coordination/connections.py
+++ b/auburncart/coordination/connections.py
@@ -75,7 +75,7 @@
         self._idle: deque[asyncio.Future[None]] = deque()
         self._tasks: set[asyncio.Task[None]] = set()
         self._serving = 0
-        self._established: set[UpstreamConnection] = set()
+        self._used_at: dict[UpstreamConnection, float] = {}
         self._dial_after = 0.0
         self._recovering = False
         self._closing = False
@@ -136,13 +136,18 @@
         :raises UpstreamError: the upstream could not be reached.
         """
         connection = await self._dialer.connect(self._replica)
-        self._established.add(connection)
+        self._mark_used(connection)
         self._refused_since = None
         return connection
 
+    def idle_seconds(self, connection: UpstreamConnection) -> float:
+        """Return the time since a connection was opened or last used."""
+        now = asyncio.get_running_loop().time()
+        return now - self._used_at.get(connection, now)
+
     async def drop(self, connection: UpstreamConnection) -> None:
         """Close a connection."""
-        self._established.discard(connection)
+        self._used_at.pop(connection, None)
         await connection.close()
 
     def _wake(self) -> bool:
@@ -182,6 +187,7 @@
                     connection = await self.dial()
                 else:
                     connection = await self._errands.next()(connection)
+                    self._mark_used(connection)
         except UpstreamError as error:
             self._refused(failure_of(error))
         except Exception as error:
@@ -192,6 +198,10 @@
             if connection is not None:
                 await self.drop(connection)
 
+    def _mark_used(self, connection: UpstreamConnection | None) -> None:
+        if connection is not None:
+            self._used_at[connection] = asyncio.get_running_loop().time()
+
     async def _wait(self) -> None:
         wake: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._idle.append(wake)
@@ -224,7 +234,7 @@
         self._refused_since = self._refused_since or asyncio.get_running_loop().time()
         self._errands.note(failure)
         now = asyncio.get_running_loop().time()
-        if self._established:
+        if self._used_at:
             self._dial_after = now + next(self._backoff.delays(), 0.0)
             return
         self._errands.strand(failure)
--- a/auburncart/coordination/gather.py
+++ b/auburncart/coordination/gather.py
@@ -72,6 +72,8 @@
         self._mailbox: Mailbox[JobResult] = Mailbox()
         self._asks = Asks()
         self._lost: list[Ask] = []
+        self._testing = False
+        self._reached = 0.0
         self._answers: dict[str, ShardAnswer] = {}
         self._failures: dict[str, Failure] = {}
 
@@ -103,20 +105,25 @@
         if not quarantine.untested(run, self._now()):
             return
         if await quarantine.take_turn(run, self._request.deadline):
+            self._testing = True
             try:
                 await self._try_shards(run)
             finally:
+                self._testing = False
                 quarantine.end_turn(run)
 
     async def _try_shards(self, run: QueryRun) -> None:
         quarantine = self._policies.quarantine
         untried = [Ask(name) for name in sorted(set(self._names), key=self._test_order)]
-        next_at = self._now()
+        next_at = self._reached = self._now()
         going_on = True
-        while going_on and quarantine.untested(run, self._now()):
-            if quarantine.refuses(run, self._now()) or not (untried or self._asks):
+        while going_on and quarantine.untested(run, self._reached):
+            if quarantine.refuses(run, self._reached):
+                await asyncio.sleep(self._until_reported(run))
                 return
-            if untried and self._now() >= next_at and self._may_test(run):
+            if not (untried or self._asks):
+                return
+            if untried and self._reached >= next_at and self._may_test(run):
                 ask = untried.pop(0)
                 self._start(ask)
                 next_at = self._now() + self._patience(ask)
@@ -126,12 +133,17 @@
             if self._lost:
                 untried += self._lost
                 self._lost.clear()
-                next_at = self._now() + quarantine.delay(run, self._now())
+                next_at = self._reached + quarantine.delay(run, self._reached)
             elif len(self._asks) < open_before:
-                next_at = self._now()
+                next_at = self._reached
+
+    def _until_reported(self, run: QueryRun) -> float:
+        """Return seconds until other VMs know of a loss, for its caller may now ask them."""
+        left = self._request.deadline - self._now()
+        return max(0.0, min(left, self._policies.quarantine.delay(run, self._now())))
 
     def _may_test(self, run: QueryRun) -> bool:
-        suspect = self._policies.quarantine.delay(run, self._now()) > 0
+        suspect = self._policies.quarantine.delay(run, self._reached) > 0
         return len(self._asks) < (1 if suspect else MOST_CANARIES)
 
     def _test_order(self, name: str) -> str:
@@ -168,7 +180,8 @@
         results = await self._mailbox.take(at)
         for result in results:
             self._settle(result)
-        now = self._now() if results else max(at, self._now())
+        # The loop may wake a task up to its clock's resolution before the time asked for.
+        now = self._reached = self._now() if results else max(at, self._now())
         for ask in self._asks.take_due(now):
             if ask.due is Due.RETRY:
                 self._send(ask, "retry")
@@ -274,7 +287,7 @@
         self._failures[ask.name] = failure
         if ask.jobs:
             return
-        if failure.code is FailureCode.LOST and self._untested(ask):
+        if failure.code is FailureCode.LOST and self._testing and self._untested(ask):
             del self._failures[ask.name]
             self._asks.settle(ask)
             self._lost.append(ask)
--- a/auburncart/coordination/tests/test_upstream.py
+++ b/auburncart/coordination/tests/test_upstream.py
@@ -10,7 +10,7 @@
 from auburncart.coordination.mailbox import Mailbox
 from auburncart.coordination.quarantine import NoQuarantine
 from auburncart.standins.fakes import FakeDialer
-from auburncart.standins.upstream import UpstreamModel, UpstreamShape
+from auburncart.standins.upstream import UpstreamCrashError, UpstreamModel, UpstreamShape
 from auburncart.state import FailureCode, Rank, Replica, SubQuery, UpstreamOrder
 from auburncart.tests.virtual import virtual_time
 
@@ -142,6 +142,26 @@
         self.assertEqual((len(failed), len(served)), (2, 1))
         self.assertIsNotNone(served[0].answer)
 
+    @virtual_time
+    async def test_connection_closed_while_idle_is_no_loss_of_the_upstream(self) -> None:
+        bench = Bench(connections=1)
+        bench.submit(1)
+        await bench.results(1, 0.1)
+        await asyncio.sleep(60.0)
+        healthy = bench.model.search
+
+        async def closed(batch: object) -> None:
+            bench.model.search = healthy  # type: ignore[method-assign]
+            raise UpstreamCrashError("closed while idle")
+
+        bench.model.search = closed  # type: ignore[assignment,method-assign]
+        bench.submit(1)
+        (result,) = await bench.results(1, 0.1)
+        await bench.upstream.close()
+        self.assertIsNotNone(result.answer)
+        self.assertEqual(bench.upstream.failures, 0)
+        self.assertEqual(bench.model.open_connections, 0)
+
     @virtual_time
     async def test_unexpected_error_of_a_dial_fails_the_jobs_once(self) -> None:
         bench = Bench(connections=2)
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -35,6 +35,7 @@
 
 __all__ = ["Upstream"]
 
+STALE_SECONDS = 1.0  # an upstream may close a connection that is idle for longer
 _request_numbers = itertools.count(1)
 
 
@@ -319,7 +320,8 @@
         batch = self._batch(jobs)
         self._running[batch.request_id] = jobs
         try:
-            self._settle(jobs, await connection.search(batch))
+            reply, connection = await self._exchange(batch, connection)
+            self._settle(jobs, reply)
             return connection
         except UpstreamError as error:
             self._lose(jobs, failure_of(error))
@@ -335,6 +337,27 @@
         await self._pool.drop(connection)
         return None
 
+    async def _exchange(
+        self, batch: Batch, connection: UpstreamConnection
+    ) -> tuple[BatchReply, UpstreamConnection]:
+        """Send a batch, and once more over a new connection if an idle one had been closed."""
+        idle = self._pool.idle_seconds(connection)
+        try:
+            return await connection.search(batch), connection
+        except UpstreamError as error:
+            if idle < STALE_SECONDS or failure_of(error).code is not FailureCode.LOST:
+                raise
+            await self._pool.drop(connection)
+            try:
+                fresh = await self._pool.dial()
+            except UpstreamError:
+                raise error from None
+        try:
+            return await fresh.search(batch), fresh
+        except BaseException:
+            await self._pool.drop(fresh)
+            raise
+
     def _batch(self, jobs: tuple[Job, ...]) -> Batch:
         request_id = f"{self._name}-{next(_request_numbers)}"
         now = asyncio.get_running_loop().time()
