--- a/auburncart/coordination/admission.py
+++ b/auburncart/coordination/admission.py
@@ -6,6 +6,8 @@
 
 from expression import Error, Ok, Result
 
+from auburncart.coordination.catalogue import Catalogue
+from auburncart.coordination.table import TableKeeper
 from auburncart.state import Refusal, RefusalCode, Row, Step, Work
 
 __all__ = ["Admission", "FirstComeAdmission", "Ticket"]
@@ -18,10 +20,16 @@
     def release(self) -> None:
         """Give the place to the next request."""
 
+    def progress(self, remaining: int) -> None:  # noqa: B027
+        """Take in how many sub-queries of the search are still open; by default nothing is done."""
+
 
 class Admission(ABC):
     """Lets requests in by rank, weight and limit."""
 
+    def follow(self, tables: TableKeeper, catalogue: Catalogue) -> None:  # noqa: B027
+        """Decide by the table and the shard map in force; by default they are not needed."""
+
     @abstractmethod
     async def admit(self, work: Work, row: Row) -> Result[Ticket, Refusal]:
         """Wait for a place.
--- a/auburncart/coordination/backoff.py
+++ b/auburncart/coordination/backoff.py
@@ -1,53 +1,34 @@
-"""How long an upstream that refused a connection is left alone."""
+"""Waiting times between calls of something that fails."""
 
 import random
-from abc import ABC, abstractmethod
-from collections.abc import Iterator
 
-__all__ = ["Backoff", "JitteredBackoff", "NoBackoff"]
+__all__ = ["Backoff"]
 
-FIRST_DELAY_SECONDS = 0.05
-LONGEST_DELAY_SECONDS = 1.0
-RECOVERY_SECONDS = 60.0
 
+class Backoff:
+    """Waiting times that double from call to call, each drawn anew below its bound.
 
-class Backoff(ABC):
-    """Spaces the dials of an upstream that could not be reached."""
+    :param rng: source of the jitter.
+    :param first: bound of the first waiting time in seconds.
+    :param most: bound of every waiting time in seconds.
 
-    @abstractmethod
-    def delays(self) -> Iterator[float]:
-        """Return the seconds to wait before each new dial, until one succeeds.
-
-        While this lasts the upstream gets no work. Once it ends, the next job dials.
-        """
-
-
-class NoBackoff(Backoff):
-    """Dials for each job; the baseline."""
-
-    def delays(self) -> Iterator[float]:
-        """Return nothing."""
-        return iter(())
-
-
-class JitteredBackoff(Backoff):
-    """Doubles the delay up to a bound, and draws each between a half and the whole of it.
-
-    :param seed: seed of the draws; None for a different one in each process.
-
-    >>> next(JitteredBackoff(seed=1).delays()) <= 0.05
-    True
+    >>> backoff = Backoff(random.Random(1), first=1.0, most=8.0)
+    >>> [backoff.next() <= bound for bound in (1.0, 2.0, 4.0, 8.0, 8.0)]
+    [True, True, True, True, True]
     """
 
-    def __init__(self, seed: int | None = None) -> None:
-        self._random = random.Random(seed)
-
-    def delays(self) -> Iterator[float]:
-        """Yield delays for about a minute."""
-        delay = FIRST_DELAY_SECONDS
-        total = 0.0
-        while total < RECOVERY_SECONDS:
-            drawn = delay * self._random.uniform(0.5, 1.0)
-            total += drawn
-            yield drawn
-            delay = min(2 * delay, LONGEST_DELAY_SECONDS)
+    def __init__(self, rng: random.Random, first: float = 0.2, most: float = 10.0) -> None:
+        self._rng = rng
+        self._first = first
+        self._most = most
+        self._bound = first
+
+    def next(self) -> float:
+        """Return the next waiting time in seconds, at least half of its bound."""
+        bound = self._bound
+        self._bound = min(self._most, 2.0 * bound)
+        return bound * self._rng.uniform(0.5, 1.0)
+
+    def reset(self) -> None:
+        """Begin again after a success."""
+        self._bound = self._first
--- a/auburncart/coordination/catalogue.py
+++ b/auburncart/coordination/catalogue.py
@@ -1,16 +1,15 @@
 """The shard map in force, from the platform's store."""
 
 import asyncio
+import random
 
+from auburncart.coordination.follow import follow
 from auburncart.coordination.interfaces import Key, Store
-from auburncart.exception import StoreUnavailableError
 from auburncart.state import ShardMap
 
 __all__ = ["SHARD_MAP", "Catalogue"]
 
 SHARD_MAP: Key[ShardMap] = Key("shards", "current")
-WATCH_SECONDS = 20.0
-RETRY_SECONDS = 1.0
 
 
 class Catalogue:
@@ -18,6 +17,7 @@
 
     def __init__(self) -> None:
         self._current: ShardMap | None = None
+        self._slots = 0
         self._arrived = asyncio.Event()
 
     @property
@@ -25,6 +25,11 @@
         """The newest shard map, None before the first."""
         return self._current
 
+    @property
+    def slots(self) -> int:
+        """Number of slots of all replicas in force, 0 before the first shard map."""
+        return self._slots
+
     async def wait(self) -> None:
         """Wait until one is in force."""
         await self._arrived.wait()
@@ -37,18 +42,18 @@
         if self._current is not None and shard_map.version <= self._current.version:
             return False
         self._current = shard_map
+        replicas = {
+            replica.address: replica.slots
+            for shard in shard_map.shards.values()
+            for replica in shard.replicas
+        }
+        self._slots = sum(replicas.values())
         self._arrived.set()
         return True
 
-    async def follow(self, store: Store) -> None:
-        """Watch the store and put each new shard map in force; runs until cancelled."""
-        etag = ""
-        while True:
-            try:
-                stored = await store.watch(SHARD_MAP, etag, WATCH_SECONDS)
-            except StoreUnavailableError:
-                await asyncio.sleep(RETRY_SECONDS)
-                continue
-            if stored is not None:
-                etag = stored.etag
-                self.install(stored.value)
+    async def follow(self, store: Store, rng: random.Random) -> None:
+        """Watch the store and put each new shard map in force; runs until cancelled.
+
+        :param rng: source of the jitter between failed tries.
+        """
+        await follow(store, SHARD_MAP, self.install, rng)
--- a/auburncart/coordination/connections.py
+++ b/auburncart/coordination/connections.py
@@ -7,15 +7,17 @@
 
 from eliot import write_traceback
 
-from auburncart.coordination.backoff import Backoff
 from auburncart.coordination.health import failure_of
 from auburncart.coordination.interfaces import UpstreamConnection, UpstreamDialer
 from auburncart.coordination.observer import Observer
+from auburncart.coordination.redial import Redialing
 from auburncart.exception import UpstreamError
 from auburncart.state import Failure, FailureCode, Replica, Step
 
 __all__ = ["ConnectionPool", "Errand", "Errands"]
 
+NEW_SECONDS = 0.1
+
 Errand = Callable[[UpstreamConnection], Awaitable[UpstreamConnection | None]]
 
 
@@ -52,7 +54,7 @@
     :param replica: the upstream.
     :param dialer: opens connections.
     :param share: returns the most connections that this VM may hold now.
-    :param backoff: spaces the dials after a refused one.
+    :param redialing: spaces the dials after a refused one.
     :param errands: what there is to do.
     :param observer: told of the number of connections.
     """
@@ -62,20 +64,21 @@
         replica: Replica,
         dialer: UpstreamDialer,
         share: Callable[[], int],
-        backoff: Backoff,
+        redialing: Redialing,
         errands: Errands,
         observer: Observer,
     ) -> None:
         self._replica = replica
         self._dialer = dialer
         self._share = share
-        self._backoff = backoff
+        self._redialing = redialing
         self._errands = errands
         self._observer = observer
         self._idle: deque[asyncio.Future[None]] = deque()
         self._tasks: set[asyncio.Task[None]] = set()
         self._serving = 0
         self._used_at: dict[UpstreamConnection, float] = {}
+        self._unused: set[UpstreamConnection | None] = set()
         self._dial_after = 0.0
         self._recovering = False
         self._closing = False
@@ -137,9 +140,14 @@
         """
         connection = await self._dialer.connect(self._replica)
         self._mark_used(connection)
+        self._unused.add(connection)
         self._refused_since = None
         return connection
 
+    def is_new(self, connection: UpstreamConnection) -> bool:
+        """Return whether a connection was opened just now and has carried nothing yet."""
+        return connection in self._unused and self.idle_seconds(connection) < NEW_SECONDS
+
     def idle_seconds(self, connection: UpstreamConnection) -> float:
         """Return the time since a connection was opened or last used."""
         now = asyncio.get_running_loop().time()
@@ -148,6 +156,7 @@
     async def drop(self, connection: UpstreamConnection) -> None:
         """Close a connection."""
         self._used_at.pop(connection, None)
+        self._unused.discard(connection)
         await connection.close()
 
     def _wake(self) -> bool:
@@ -188,6 +197,7 @@
                 else:
                     connection = await self._errands.next()(connection)
                     self._mark_used(connection)
+                    self._unused.discard(connection)
         except UpstreamError as error:
             self._refused(failure_of(error))
         except Exception as error:
@@ -214,7 +224,7 @@
     async def _redial(self) -> UpstreamConnection | None:
         """Dial with growing delays; None if the upstream did not come back."""
         try:
-            for delay in self._backoff.delays():
+            for delay in self._redialing.delays():
                 await asyncio.sleep(delay)
                 try:
                     return await self.dial()
@@ -235,9 +245,9 @@
         self._errands.note(failure)
         now = asyncio.get_running_loop().time()
         if self._used_at:
-            self._dial_after = now + next(self._backoff.delays(), 0.0)
+            self._dial_after = now + next(self._redialing.delays(), 0.0)
             return
         self._errands.strand(failure)
-        if next(self._backoff.delays(), None) is not None and not self._recovering:
+        if next(self._redialing.delays(), None) is not None and not self._recovering:
             self._recovering = True
             self._open()
--- a/auburncart/coordination/gather.py
+++ b/auburncart/coordination/gather.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 
 from auburncart.coordination.asks import Ask, Asks, Due
 from auburncart.coordination.fleet import Fleet
@@ -44,6 +45,10 @@
 NO_UPSTREAM = Failure(Step.ROUTE, "", "no upstream to ask", FailureCode.UNREACHABLE, False)
 
 
+def _ignore_progress(remaining: int) -> None:
+    """Do nothing."""
+
+
 class Gather:
     """One search on one pinned snapshot; :meth:`run` is called once.
 
@@ -51,6 +56,7 @@
     :param shard_map: the pinned snapshot with its shards.
     :param names: names of the shards asked.
     :param rank: rank of the search.
+    :param progress: told how many shards are still open whenever some have ended.
     """
 
     def __init__(
@@ -61,8 +67,10 @@
         rank: Rank,
         fleet: Fleet,
         policies: Policies,
+        progress: Callable[[int], None] = _ignore_progress,
     ) -> None:
         self._request = request
+        self._progress = progress
         self._map = shard_map
         self._names = names
         self._rank = rank
@@ -91,7 +99,7 @@
             await self._test()
             self._ask_rest()
             while self._asks and await self._step(self._request.deadline):
-                pass
+                self._progress(len(self._asks))
         finally:
             self._cancel_rest()
         hits = tuple(hit for name in self._names for hit in self._hits_of(name))
@@ -226,12 +234,12 @@
         upstream.submit(job)
 
     def _choose(self, ask: Ask, fresh_only: bool) -> Upstream | None:
-        now = self._now()
+        now, deadline = self._now(), self._request.deadline
         candidates = self._usable(ask.name, now)
         fresh = [upstream for upstream in candidates if upstream.address not in ask.tried]
-        chosen = self._policies.choice.choose(fresh, now) if fresh else None
+        chosen = self._policies.choice.choose(fresh, now, deadline) if fresh else None
         if chosen is None and not fresh_only and candidates:
-            chosen = self._policies.choice.choose(candidates, now)
+            chosen = self._policies.choice.choose(candidates, now, deadline)
         return chosen
 
     def _usable(self, name: str, now: float) -> list[Upstream]:
--- a/auburncart/coordination/policies.py
+++ b/auburncart/coordination/policies.py
@@ -4,17 +4,20 @@
 from typing import NamedTuple
 
 from auburncart.coordination.admission import Admission, FirstComeAdmission
-from auburncart.coordination.backoff import Backoff, NoBackoff
-from auburncart.coordination.batching import Batching, OnePerRequest
+from auburncart.coordination.batching import Batching, OnePerRequest, UpToLimit
 from auburncart.coordination.choice import ReplicaChoice, RoundRobinChoice
 from auburncart.coordination.drain import Draining, NoDraining
-from auburncart.coordination.hedge import Hedging, NoHedging
+from auburncart.coordination.hedge import AdaptiveHedging, Hedging, NoHedging
 from auburncart.coordination.limits import ConnectionLimit, FixedLimit
+from auburncart.coordination.loaded import LeastLoadedChoice
+from auburncart.coordination.poison import StrikeQuarantine
 from auburncart.coordination.pressure import InFlightLimit, OpenInFlight
 from auburncart.coordination.quarantine import NoQuarantine, Quarantine
-from auburncart.coordination.retry import Retrying, RetryThrice
+from auburncart.coordination.ranked import RankedAdmission
+from auburncart.coordination.redial import BackoffRedialing, ImmediateRedialing, Redialing
+from auburncart.coordination.retry import BudgetedRetrying, Retrying, RetryThrice
 
-__all__ = ["Policies", "baseline_policies"]
+__all__ = ["Policies", "baseline_policies", "default_policies"]
 
 
 class Policies(NamedTuple):
@@ -27,7 +30,7 @@
     limit: ConnectionLimit
     quarantine: Quarantine
     retrying: Retrying
-    backoff: Backoff = NoBackoff()
+    redialing: Redialing = ImmediateRedialing()
     draining: Draining = NoDraining()
     pressure: Callable[[], InFlightLimit] = OpenInFlight
 
@@ -47,3 +50,23 @@
         quarantine=NoQuarantine(),
         retrying=RetryThrice(),
     )
+
+
+def default_policies(vms: int, sharing: Callable[[], int] | None = None, seed: int = 0) -> Policies:
+    """Return the policies that the daemon runs with.
+
+    :param vms: number of VMs that may connect to one upstream.
+    :param sharing: returns the number of VMs that share a limit of a data centre now; by default
+        ``vms``.
+    :param seed: seed of random draws.
+    """
+    return Policies(
+        admission=RankedAdmission(sharing or (lambda: vms)),
+        batching=UpToLimit(),
+        choice=LeastLoadedChoice(seed),
+        hedging=AdaptiveHedging(),
+        limit=FixedLimit(vms),
+        quarantine=StrikeQuarantine(seed),
+        retrying=BudgetedRetrying(seed=seed),
+        redialing=BackoffRedialing(seed),
+    )
--- a/auburncart/coordination/quarantine.py
+++ b/auburncart/coordination/quarantine.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 
+from auburncart.coordination.interfaces import PeerBus
 from auburncart.state import QueryRun
 
 __all__ = ["NoQuarantine", "Quarantine"]
@@ -50,6 +51,10 @@
         :param now: loop time in seconds.
         """
 
+    @abstractmethod
+    def join(self, bus: PeerBus) -> None:
+        """Exchange losses with the other VMs from now on."""
+
     @abstractmethod
     def record_answer(self, run: QueryRun, now: float) -> None:
         """Take in that an upstream answered a query and survived it."""
@@ -86,5 +91,8 @@
     ) -> None:
         """Ignore the loss."""
 
+    def join(self, bus: PeerBus) -> None:
+        """Do nothing."""
+
     def record_answer(self, run: QueryRun, now: float) -> None:
         """Ignore the answer."""
--- a/auburncart/coordination/tests/test_retry.py
+++ b/auburncart/coordination/tests/test_retry.py
@@ -4,7 +4,7 @@
 import unittest
 
 from auburncart.coordination import baseline_policies
-from auburncart.coordination.backoff import JitteredBackoff
+from auburncart.coordination.redial import BackoffRedialing
 from auburncart.coordination.retry import BudgetedRetrying, RetryThrice
 from auburncart.state import Failure, FailureCode, Step, UpstreamCondition
 from auburncart.tests.site import Site, search_request
@@ -13,7 +13,7 @@
 
 def budgeted_policies():  # type: ignore[no-untyped-def]
     return baseline_policies(places=64, vms=3)._replace(
-        retrying=BudgetedRetrying(seed=1), backoff=JitteredBackoff(seed=1)
+        retrying=BudgetedRetrying(seed=1), redialing=BackoffRedialing(seed=1)
     )
 
 
--- a/auburncart/coordination/tests/trial.py
+++ b/auburncart/coordination/tests/trial.py
@@ -13,8 +13,8 @@
 import async_solipsism
 
 from auburncart.coordination import Policies, baseline_policies
-from auburncart.coordination.backoff import JitteredBackoff
 from auburncart.coordination.hedge import AdaptiveHedging
+from auburncart.coordination.redial import BackoffRedialing
 from auburncart.coordination.retry import BudgetedRetrying
 from auburncart.state import SearchRequest, UpstreamCondition
 from auburncart.tests.site import Site
@@ -104,7 +104,9 @@
 
 
 def retried() -> Policies:
-    return baseline()._replace(retrying=BudgetedRetrying(seed=1), backoff=JitteredBackoff(seed=1))
+    return baseline()._replace(
+        retrying=BudgetedRetrying(seed=1), redialing=BackoffRedialing(seed=1)
+    )
 
 
 def both() -> Policies:
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -7,17 +7,17 @@
 
 from eliot import write_traceback
 
-from auburncart.coordination.backoff import Backoff, NoBackoff
 from auburncart.coordination.batching import Batching
 from auburncart.coordination.connections import ConnectionPool, Errand, Errands
 from auburncart.coordination.health import UpstreamHealth, failure_of
 from auburncart.coordination.interfaces import UpstreamConnection, UpstreamDialer
-from auburncart.coordination.job import Job
+from auburncart.coordination.job import Job, OrderJob
 from auburncart.coordination.jobqueue import JobQueue
 from auburncart.coordination.limits import ConnectionLimit
 from auburncart.coordination.observer import Observer
 from auburncart.coordination.pressure import InFlightLimit, OpenInFlight
 from auburncart.coordination.quarantine import Quarantine
+from auburncart.coordination.redial import ImmediateRedialing, Redialing
 from auburncart.exception import (
     UpstreamError,
 )
@@ -39,18 +39,6 @@
 _request_numbers = itertools.count(1)
 
 
-class _OrderErrand:
-    """An order that waits for a connection."""
-
-    def __init__(self, order: UpstreamOrder) -> None:
-        self.order = order
-        self.reply: asyncio.Future[OrderReply] = asyncio.get_running_loop().create_future()
-
-    def fail(self, error: UpstreamError) -> None:
-        if not self.reply.done():
-            self.reply.set_exception(error)
-
-
 class Upstream(Errands):
     """The queue of one upstream, served by one task for each connection.
 
@@ -65,7 +53,7 @@
     :param quarantine: tells which jobs must travel alone.
     :param observer: told of connections and sub-queries.
     :param pressure: bounds the requests at work.
-    :param backoff: spaces the dials after a refused one.
+    :param redialing: spaces the dials after a refused one.
     """
 
     def __init__(
@@ -80,7 +68,7 @@
         quarantine: Quarantine,
         observer: Observer,
         pressure: InFlightLimit | None = None,
-        backoff: Backoff | None = None,
+        redialing: Redialing | None = None,
     ) -> None:
         self._replica = replica
         self._local = local
@@ -91,12 +79,12 @@
         self._pressure = pressure or OpenInFlight()
         self._health = UpstreamHealth()
         self._queue = JobQueue(replica, batching, quarantine)
-        self._orders: deque[_OrderErrand] = deque()
+        self._orders: deque[OrderJob] = deque()
         self._cancels: deque[str] = deque()
         self._running: dict[str, tuple[Job, ...]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._pool = ConnectionPool(
-            replica, dialer, self._share, backoff or NoBackoff(), self, observer
+            replica, dialer, self._share, redialing or ImmediateRedialing(), self, observer
         )
 
     @property
@@ -197,25 +185,16 @@
     async def order(self, order: UpstreamOrder) -> OrderReply:
         """Send an order once, over a new connection within this VM's share.
 
-        :raises UpstreamError: no matching reply.
+        :raises UpstreamError: no matching reply before the deadline; ``sent`` tells whether the
+            order may have arrived.
         """
         if not self.ready:
             failure = self._pool.unready()
             raise UpstreamError(failure.reason, step="connect", peer=self.address, sent=False)
-        errand = _OrderErrand(order)
-        self._orders.append(errand)
+        job = OrderJob(order)
+        self._orders.append(job)
         self._pool.engage()
-        wait = order.deadline - asyncio.get_running_loop().time()
-        await asyncio.wait((errand.reply,), timeout=wait)
-        if errand in self._orders:
-            self._orders.remove(errand)
-            raise UpstreamError(
-                "no free connection before the deadline",
-                step="queue",
-                peer=self.address,
-                sent=False,
-            )
-        return await errand.reply
+        return await job.reply()
 
     def withdraw(self, failure: Failure) -> None:
         """Fail all jobs in the queue, so that their searches ask another replica."""
@@ -291,23 +270,31 @@
         return connection
 
     async def _carry_out(
-        self, errand: _OrderErrand, connection: UpstreamConnection
+        self, job: OrderJob, connection: UpstreamConnection
     ) -> UpstreamConnection | None:
-        """Send an order over a new connection: a kept one may turn out to be stale too late."""
-        await self._pool.drop(connection)
-        fresh: UpstreamConnection | None = None
+        """Send an order over a new connection.
+
+        A kept one may have been closed by the other side: its error would say nothing of whether
+        the order arrived.
+        """
+        if not job.waited_for:
+            return connection
+        fresh: UpstreamConnection | None = connection if self._pool.is_new(connection) else None
+        if fresh is None:
+            await self._pool.drop(connection)
         try:
-            fresh = await self._pool.dial()
-            reply = await fresh.order(errand.order)
+            fresh = fresh or await self._pool.dial()
+            if job.waited_for and asyncio.get_running_loop().time() < job.order.deadline:
+                job.sent = True
+                job.answer(await fresh.order(job.order))
+            return fresh
         except UpstreamError as error:
-            errand.fail(error)
-        except asyncio.CancelledError:
-            errand.fail(UpstreamError("closed", step="reply", peer=self.address))
+            job.fail(error)
+        except BaseException:
+            job.fail(UpstreamError("closed", step="send", peer=self.address, sent=job.sent))
+            if fresh is not None:
+                await self._pool.drop(fresh)
             raise
-        else:
-            if not errand.reply.done():
-                errand.reply.set_result(reply)
-            return fresh
         if fresh is not None:
             await self._pool.drop(fresh)
         return None
--- a/auburncart/protocol/platform.py
+++ b/auburncart/protocol/platform.py
@@ -15,6 +15,7 @@
 from auburncart.state import (
     AuditArchive,
     Claim,
+    ClaimBucket,
     Condition,
     Member,
     Replica,
@@ -134,12 +135,17 @@
     return msgspec.convert(fields, type=TableDocument)
 
 
-def _decode_archive(fields: Any) -> AuditArchive:
-    return msgspec.convert(fields, type=AuditArchive)
+def _encode_claims(bucket: ClaimBucket) -> dict[str, Any]:
+    return {"period": bucket.period, "claims": list(bucket.claims.values())}
+
 
+def _decode_claims(fields: dict[str, Any]) -> ClaimBucket:
+    claims = msgspec.convert(fields["claims"], type=list[Claim])
+    return ClaimBucket(int(fields["period"]), {claim.key: claim for claim in claims})
 
-def _decode_claim(fields: Any) -> Claim:
-    return msgspec.convert(fields, type=Claim)
+
+def _decode_archive(fields: Any) -> AuditArchive:
+    return msgspec.convert(fields, type=AuditArchive)
 
 
 def _plain(value: Any) -> Any:
@@ -149,6 +155,6 @@
 CODECS: dict[str, _Codec] = {
     "table": _Codec(_plain, _decode_table),
     "shards": _Codec(_encode_map, _decode_map),
-    "claims": _Codec(_plain, _decode_claim),
+    "claims": _Codec(_encode_claims, _decode_claims),
     "audit": _Codec(_plain, _decode_archive),
 }
--- a/auburncart/scenario/world.py
+++ b/auburncart/scenario/world.py
@@ -3,10 +3,20 @@
 from abc import ABC, abstractmethod
 from typing import NamedTuple
 
+import xxhash
+
+from auburncart.coordination.idempotency import make_key
 from auburncart.scenario.language import Command
 from auburncart.state import OrderAnswer, Refusal, SearchAnswer
 
-__all__ = ["Outcome", "World", "outcome_of_order", "outcome_of_refusal", "outcome_of_search"]
+__all__ = [
+    "Outcome",
+    "World",
+    "key_of",
+    "outcome_of_order",
+    "outcome_of_refusal",
+    "outcome_of_search",
+]
 
 
 class Outcome(NamedTuple):
@@ -34,6 +44,14 @@
     return ",".join(value) if isinstance(value, tuple) else str(value)
 
 
+def key_of(word: str, began: float) -> str:
+    """Return the idempotency key that a word of a scenario stands for.
+
+    :param began: time at which the scenario began, in seconds since the epoch.
+    """
+    return make_key(began, xxhash.xxh3_128_intdigest(word.encode()))
+
+
 def outcome_of_search(answer: SearchAnswer) -> Outcome:
     """Return the outcome that an answer is."""
     coverage = answer.coverage
