--- a/auburncart/transport/http.py
+++ b/auburncart/transport/http.py
@@ -10,7 +10,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
-from auburncart.exception import LinkError
+from auburncart.exception import LinkError, LinkTimeoutError
 from auburncart.transport.worker import Worker
 
 __all__ = ["HttpConnection", "HttpReply"]
@@ -75,6 +75,9 @@
             raise LinkError("the connection is closed", step="send", peer=self._address)
         try:
             return await self._worker.run(self.request_here, method, path, body, headers, seconds)
+        except TimeoutError as error:
+            self.close()
+            raise LinkTimeoutError("no reply in time", step="reply", peer=self._address) from error
         except BROKEN as error:
             self.close()
             reason = f"{type(error).__name__}: {error}"
