Peers: websockets with CBOR, proved keys, membership by suspicion, spread of table and shard map

Cause: every VM watched the store itself, so calls grew with the fleet, a VM that started in an outage had nothing, and no VM knew of another.

Links are one task each; a frame that does not check closes its own link. Ring of four links out for each VM, two relays for each pair of data centres, readers by rendezvous hashing. Versions ride on heartbeats, whoever is behind asks.

Ruled out: flooding the table itself (each VM would receive it up to eight times); heartbeat counters for all members on all links (213 VMs x 8 links x 20 B each second is 34 KB/s).

--- /dev/null
+++ b/auburncart/coordination/group.py
@@ -0,0 +1,155 @@
+"""One VM's part in the tier: its membership, its links, and what it keeps in force with peers."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from auburncart.coordination.catalogue import Catalogue
+from auburncart.coordination.handshake import KeyRing
+from auburncart.coordination.interfaces import PeerDialer, PeerLink, Store
+from auburncart.coordination.membership import Roster
+from auburncart.coordination.observer import Observer
+from auburncart.coordination.overlay import Overlay
+from auburncart.coordination.peers import LinkListener, Peers
+from auburncart.coordination.spread import MapSubject, Spread, TableSubject, is_reader
+from auburncart.coordination.table import TableKeeper
+from auburncart.exception import StoreUnavailableError
+from auburncart.state import (
+    Condition,
+    Heartbeat,
+    Member,
+    StatusAsk,
+    StatusNews,
+    Versions,
+)
+
+__all__ = ["Group"]
+
+LIST_SECONDS = 5.0
+FAREWELL_SECONDS = 0.2
+
+
+class Group(LinkListener):
+    """Membership, peer links and the spread of table and shard map on one VM.
+
+    :param own: this VM.
+    :param seeds: addresses of VMs to begin with, beside the platform's list.
+    :param store: the platform's store.
+    :param dialer: opens links to peers.
+    :param keys: keys that peers prove.
+    :param tables: the table in force.
+    :param catalogue: the shard map in force.
+    :param seed: seed of random choices and waits.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        seeds: tuple[str, ...],
+        store: Store,
+        dialer: PeerDialer,
+        keys: KeyRing,
+        tables: TableKeeper,
+        catalogue: Catalogue,
+        observer: Observer,
+        seed: int,
+    ) -> None:
+        self._store = store
+        self._roster = Roster(own)
+        self._roster.hints.update(set(seeds) - {own.address})
+        self._peers = Peers(lambda: self._roster.own, self._heartbeat, dialer, keys, observer)
+        self._overlay = Overlay(self._roster, self._peers, seed)
+        self._tables = TableSubject(tables)
+        self._shards = MapSubject(catalogue)
+        common = (store, self._roster, self._peers, self._peers.beat, observer, seed)
+        self._table_spread = Spread(self._tables, *common)
+        self._shard_spread = Spread(self._shards, *common)
+        self._peers.attach(self)
+        self._peers.serve(StatusAsk, self._answer_status)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def membership(self) -> Roster:
+        """What this VM believes of the others."""
+        return self._roster
+
+    @property
+    def bus(self) -> Peers:
+        """The links to the others."""
+        return self._peers
+
+    @property
+    def versions(self) -> Versions:
+        """What is in force on this VM."""
+        return Versions(self._tables.version, self._shards.version)
+
+    @property
+    def lacking(self) -> str:
+        """What this VM lacks to serve, ``""`` if nothing."""
+        lacks = [
+            f"no {subject.name} from the store or a peer"
+            for subject in (self._tables, self._shards)
+            if subject.version == 0
+        ]
+        return "; ".join(lacks)
+
+    @property
+    def ready(self) -> bool:
+        """Whether this VM has all that it needs to serve."""
+        return not self.lacking
+
+    @property
+    def reads(self) -> bool:
+        """Whether this VM watches the store for its data centre."""
+        return is_reader(self._roster)
+
+    async def accept(self, link: PeerLink) -> None:
+        """Serve a link that another VM opened."""
+        await self._peers.accept(link)
+
+    def heard(self, member: Member, heartbeat: Heartbeat) -> None:
+        """Ask for whatever is newer on the other side."""
+        self._table_spread.announced(heartbeat.versions.table, member)
+        self._shard_spread.announced(heartbeat.versions.shards, member)
+
+    def start(self) -> None:
+        """Begin, each concern in a task of its own."""
+        concerns: dict[str, Callable[[], Any]] = {
+            "heartbeats": self._peers.run,
+            "overlay": self._overlay.run,
+            "platform list": self._list,
+            "table read": self._table_spread.read,
+            "table pull": self._table_spread.pull,
+            "shards read": self._shard_spread.read,
+            "shards pull": self._shard_spread.pull,
+        }
+        for name, run in concerns.items():
+            self._tasks.append(asyncio.create_task(run(), name=name))
+
+    def leave(self) -> None:
+        """Tell all VMs that this one is leaving; it still serves what it has begun."""
+        self._roster.leave(Condition.LEAVING)
+
+    async def stop(self) -> None:
+        """Tell all VMs that this one has ended, and end all links."""
+        self._roster.leave(Condition.ENDED)
+        await asyncio.sleep(FAREWELL_SECONDS)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._peers.close("ended")
+
+    async def _list(self) -> None:
+        while True:
+            if is_reader(self._roster) or not len(self._peers.links):
+                try:
+                    self._roster.take_list(await self._store.members())
+                except StoreUnavailableError:
+                    await asyncio.sleep(LIST_SECONDS)
+            await asyncio.sleep(LIST_SECONDS)
+
+    async def _answer_status(self, question: StatusAsk, origin: Member) -> StatusNews:
+        return StatusNews(self.versions, self.ready, self.lacking)
+
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(self.versions, self._roster.digest)
--- a/auburncart/coordination/interfaces.py
+++ b/auburncart/coordination/interfaces.py
@@ -7,12 +7,22 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Generic, NamedTuple, TypeVar
 
-from auburncart.state import Batch, BatchReply, Member, OrderReply, Replica, UpstreamOrder
+from auburncart.state import (
+    Batch,
+    BatchReply,
+    LinkMessage,
+    Member,
+    OrderReply,
+    Replica,
+    UpstreamOrder,
+)
 
 __all__ = [
     "Key",
     "Membership",
     "PeerBus",
+    "PeerDialer",
+    "PeerLink",
     "Store",
     "Stored",
     "UpstreamConnection",
@@ -159,3 +169,43 @@
         self, kind: type[F], handler: Callable[[F, Member], Awaitable[tuple[Any, ...]]]
     ) -> None:
         """Answer questions of a kind by ``await handler(question, origin)``."""
+
+
+class PeerLink(ABC):
+    """One link to another entry VM; it carries messages of :data:`auburncart.state.MESSAGES`."""
+
+    @property
+    @abstractmethod
+    def address(self) -> str:
+        """Address of the other side, for logs."""
+
+    @abstractmethod
+    def post(self, message: LinkMessage) -> None:
+        """Send a message without waiting; a side that does not read for long loses the link."""
+
+    @abstractmethod
+    async def receive(self) -> LinkMessage:
+        """Wait for the next message.
+
+        :raises ProtocolError: it does not have the agreed form.
+        :raises LinkError: the link has ended.
+        """
+
+    @abstractmethod
+    def trust(self) -> None:
+        """Accept long messages from now on: the other side has proved a key."""
+
+    @abstractmethod
+    async def close(self, reason: str) -> None:
+        """Close the link and tell the other side why."""
+
+
+class PeerDialer(ABC):
+    """Opens links to other entry VMs."""
+
+    @abstractmethod
+    async def connect(self, address: str) -> PeerLink:
+        """Open a link.
+
+        :raises LinkError: the VM could not be reached.
+        """
--- /dev/null
+++ b/auburncart/coordination/overlay.py
@@ -0,0 +1,193 @@
+"""Which other VMs a VM keeps links to: few, whatever the size of its data centre."""
+
+import asyncio
+import random
+from collections.abc import Iterable
+
+import xxhash
+
+from auburncart.coordination.membership import Roster
+from auburncart.coordination.peers import LinkListener, Peers
+from auburncart.coordination.rendezvous import top
+from auburncart.state import Heartbeat, Member, Roll
+
+__all__ = ["Overlay", "relay_targets", "ring_neighbours"]
+
+RING_LINKS = 4
+RELAYS = 2
+TICK_SECONDS = 0.5
+NEWS_SECONDS = 0.05
+PROBE_SECONDS = 4.0
+IDLE_SECONDS = 10.0
+ROLL_SECONDS = 5.0
+MOST_FAILED_SECONDS = 10.0
+MISMATCHES = 2
+MOST_JOIN_DIALS = 3
+
+
+def ring_neighbours(own: str, addresses: Iterable[str]) -> list[str]:
+    """Return the members of a data centre that a VM opens links to.
+
+    The members stand on a ring by hash; a VM links to those at distances 1, n^1/4, n^1/2 and
+    n^3/4. It holds about twice that many links, as many as it opens come from others, and any
+    two VMs are a few links apart.
+
+    >>> ring_neighbours("a", ["a", "b", "c"]) == ring_neighbours("a", ["c", "b", "a"])
+    True
+    """
+    ring = sorted(
+        {own, *addresses}, key=lambda address: (xxhash.xxh64_intdigest(address.encode()), address)
+    )
+    size = len(ring)
+    place = ring.index(own)
+    steps = {round(size ** (number / RING_LINKS)) for number in range(RING_LINKS)}
+    return [ring[(place + step) % size] for step in sorted(steps) if step % size]
+
+
+def relay_targets(own: Member, near: list[str], far: list[str], data_centre: str) -> list[str]:
+    """Return the VMs of another data centre that a VM tries in turn, none if it is no relay.
+
+    :param near: addresses in this VM's data centre.
+    :param far: addresses in the other one.
+    """
+    purpose = f"relay {own.data_centre} {data_centre}"
+    relays = top(purpose, near, RELAYS)
+    if own.address not in relays or not far:
+        return []
+    order = top(purpose, far, len(far))
+    place = relays.index(own.address) % len(order)
+    return order[place:] + order[:place]
+
+
+class Overlay(LinkListener):
+    """Opens and closes links as members come and go, and notices those that cannot be reached.
+
+    :param roster: what this VM believes.
+    :param peers: its links.
+    :param seed: seed of its random choices.
+    """
+
+    def __init__(self, roster: Roster, peers: Peers, seed: int) -> None:
+        self._roster = roster
+        self._peers = peers
+        self._random = random.Random(seed)
+        self._verify: set[str] = set()
+        self._failed: dict[str, float] = {}
+        self._mismatches: dict[str, int] = {}
+        self._rolled: dict[str, float] = {}
+        self._unwanted: dict[str, float] = {}
+        self._next_probe = 0.0
+        peers.attach(self)
+        self._flush: asyncio.TimerHandle | None = None
+        peers.subscribe(Roll, lambda roll, _: roster.learn_roll(roll))
+        roster.bind(self._schedule)
+
+    def link_opened(self, member: Member) -> None:
+        """Exchange all that is believed with the other side."""
+        self._roster.heard(member)
+        self._send_roll(member.address)
+
+    def link_closed(self, member: Member, goodbye: bool) -> None:
+        """See whether the other side still answers, unless it said goodbye."""
+        self._mismatches.pop(member.address, None)
+        if not goodbye:
+            self._verify.add(member.address)
+
+    def heard(self, member: Member, heartbeat: Heartbeat) -> None:
+        """Exchange all that is believed if the two sides differ for long."""
+        if heartbeat.digest == self._roster.digest:
+            self._mismatches.pop(member.address, None)
+            return
+        count = self._mismatches.get(member.address, 0) + 1
+        self._mismatches[member.address] = count
+        since = self._now() - self._rolled.get(member.address, 0.0)
+        if count >= MISMATCHES and since >= ROLL_SECONDS:
+            self._send_roll(member.address)
+
+    async def run(self) -> None:
+        """Keep the links until cancelled."""
+        dials: set[asyncio.Task[None]] = set()
+        while True:
+            self._roster.tick()
+            wanted = self._wanted()
+            for address in (wanted | self._due()) - self._peers.links.addresses:
+                task = asyncio.create_task(self._dial(address), name=f"link {address}")
+                dials.add(task)
+                task.add_done_callback(dials.discard)
+            await self._drop_unwanted(wanted)
+            await asyncio.sleep(TICK_SECONDS * self._random.uniform(0.8, 1.2))
+
+    def _schedule(self) -> None:
+        if self._flush is None:
+            self._flush = asyncio.get_running_loop().call_later(NEWS_SECONDS, self._pass_on)
+
+    def _pass_on(self) -> None:
+        # Each VM passes on only what was new to it, so that news ends by itself.
+        self._flush = None
+        roll = self._roster.take_fresh()
+        for address in self._peers.links.addresses:
+            self._peers.tell(address, roll)
+
+    def _wanted(self) -> set[str]:
+        own = self._roster.own
+        by_centre: dict[str, list[str]] = {}
+        for member in self._roster.members():
+            by_centre.setdefault(member.data_centre, []).append(member.address)
+        near = by_centre.pop(own.data_centre, [])
+        wanted = set(ring_neighbours(own.address, near))
+        for data_centre, far in by_centre.items():
+            targets = relay_targets(own, near, far, data_centre)
+            usable = [address for address in targets if not self._has_failed(address)]
+            wanted.update(usable[:1])
+        return wanted
+
+    def _due(self) -> set[str]:
+        due, self._verify = self._verify, set()
+        if not len(self._peers.links):
+            hints = sorted(self._roster.hints | {one.address for one in self._roster.members()})
+            due.update(self._random.sample(hints, min(MOST_JOIN_DIALS, len(hints))))
+        if self._now() >= self._next_probe:
+            self._next_probe = self._now() + PROBE_SECONDS * self._random.uniform(0.5, 1.5)
+            due.update(self._probes())
+        return due - {self._roster.own.address}
+
+    def _probes(self) -> list[str]:
+        live = {member.address for member in self._roster.members()}
+        candidates = sorted(set(self._roster.lost()) | (self._roster.hints - live))
+        return self._random.sample(candidates, min(1, len(candidates)))
+
+    async def _dial(self, address: str) -> None:
+        if await self._peers.dial(address):
+            self._failed.pop(address, None)
+            return
+        self._failed[address] = self._now()
+        if self._in_own_centre(address):
+            self._roster.suspect(address)
+
+    def _in_own_centre(self, address: str) -> bool:
+        own = self._roster.own.data_centre
+        return any(
+            member.address == address and member.data_centre == own
+            for member in self._roster.known()
+        )
+
+    def _has_failed(self, address: str) -> bool:
+        failed = self._failed.get(address)
+        return failed is not None and self._now() - failed < MOST_FAILED_SECONDS
+
+    async def _drop_unwanted(self, wanted: set[str]) -> None:
+        now = self._now()
+        dialled = {one.member.address for one in self._peers.links if one.dialled}
+        for address in dialled & wanted:
+            self._unwanted.pop(address, None)
+        for address in dialled - wanted:
+            if now - self._unwanted.setdefault(address, now) >= IDLE_SECONDS:
+                del self._unwanted[address]
+                await self._peers.hang_up(address, "not needed")
+
+    def _send_roll(self, address: str) -> None:
+        self._rolled[address] = self._now()
+        self._peers.tell(address, self._roster.roll())
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
--- a/auburncart/coordination/table.py
+++ b/auburncart/coordination/table.py
@@ -24,6 +24,16 @@
         """The table in force, None before the first."""
         return self._document.table if self._document else None
 
+    @property
+    def document(self) -> TableDocument | None:
+        """The table in force with what is known of its audit trail, None before the first."""
+        return self._document
+
+    @property
+    def version(self) -> int:
+        """Version of the table in force, 0 before the first."""
+        return self._document.table.version if self._document else 0
+
     def install(self, document: TableDocument) -> bool:
         """Put a table in force if it is newer than the one in force.
 
--- /dev/null
+++ b/auburncart/coordination/tests/test_group.py
@@ -0,0 +1,245 @@
+import asyncio
+import unittest
+
+from auburncart.coordination import SHARD_MAP, Author, Proposal, TableEditor
+from auburncart.coordination.overlay import ring_neighbours
+from auburncart.standins.fakes import FakeStore
+from auburncart.standins.platform import PlatformModel
+from auburncart.state import Condition, Rank, Row, ShardMap, Table, TableDocument
+from auburncart.tests.fleet import MemoryNetwork, Vm, make_fleet
+from auburncart.tests.virtual import virtual_time
+
+IN_FORCE_SECONDS = 7.0
+SETTLE_SECONDS = 8.0
+
+
+class Fleet:
+    """A started fleet over one platform."""
+
+    def __init__(self, count: int, data_centres: int = 3) -> None:
+        self.platform = PlatformModel()
+        self.network = MemoryNetwork()
+        self.vms = make_fleet(count, data_centres, self.platform, self.network)
+        self.editor = TableEditor(FakeStore(self.platform), Author("ana", "10.0.0.1"))
+        self.version = 0
+
+    async def start(self) -> None:
+        await FakeStore(self.platform).write(SHARD_MAP, ShardMap("s1", 1, {}), "")
+        await self.change()
+        for vm in self.vms:
+            vm.start()
+        await asyncio.sleep(SETTLE_SECONDS)
+
+    async def change(self) -> None:
+        self.version += 1
+        rows = (Row("*", "closure", Rank.URGENT, float(self.version)),)
+        proposal = Proposal(f"c{self.version}", rows, (0.0, 0.1, 0.05), self.version - 1)
+        await self.editor.apply(proposal, 0.0)
+
+    async def seconds_to_all(self, vms: list[Vm], limit: float) -> float:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while any(vm.tables.version < self.version for vm in vms):
+            if loop.time() - began > limit:
+                behind = [vm.address for vm in vms if vm.tables.version < self.version]
+                raise AssertionError(f"not in force after {limit} s on {behind}")
+            await asyncio.sleep(0.01)
+        return loop.time() - began
+
+    async def stop(self) -> None:
+        await asyncio.gather(*(vm.stop() for vm in self.vms))
+
+
+class SpreadTest(unittest.TestCase):
+    async def change_under_loss(self, count: int, loss: float, changes: int) -> None:
+        fleet = Fleet(count)
+        await fleet.start()
+        fleet.network.loss = loss
+        for _ in range(changes):
+            await fleet.change()
+            await fleet.seconds_to_all(fleet.vms, IN_FORCE_SECONDS)
+            await asyncio.sleep(1.0)
+        await fleet.stop()
+
+    @virtual_time
+    async def test_table_is_in_force_on_9_vms_while_one_message_in_ten_is_lost(self) -> None:
+        await self.change_under_loss(9, 0.1, 10)
+
+    @virtual_time
+    async def test_table_is_in_force_on_60_vms_while_one_message_in_ten_is_lost(self) -> None:
+        await self.change_under_loss(60, 0.1, 3)
+
+    @virtual_time
+    async def test_table_is_in_force_though_both_readers_die_as_it_changes(self) -> None:
+        fleet = Fleet(9)
+        await fleet.start()
+        near = [vm for vm in fleet.vms if vm.group.membership.own.data_centre == "dc0"]
+        dead = [vm for vm in near if vm.group.reads][:2]
+        self.assertEqual(len(dead), 2)
+        await asyncio.gather(*(vm.kill() for vm in dead))
+        fleet.vms = [vm for vm in fleet.vms if vm not in dead]
+        await fleet.change()
+        await fleet.seconds_to_all(fleet.vms, IN_FORCE_SECONDS)
+        await fleet.stop()
+
+    @virtual_time
+    async def test_cut_off_data_centre_goes_on_and_catches_up_without_going_back(self) -> None:
+        fleet = Fleet(9)
+        await fleet.start()
+        cut = [vm for vm in fleet.vms if vm.group.membership.own.data_centre == "dc1"]
+        rest = [vm for vm in fleet.vms if vm not in cut]
+        for vm in cut:
+            fleet.network.sides[vm.address] = 1
+            vm.store.cut = True
+        await fleet.change()
+        await fleet.seconds_to_all(rest, IN_FORCE_SECONDS)
+        await asyncio.sleep(60)
+        self.assertEqual({vm.tables.version for vm in cut}, {1})
+        self.assertEqual({len(vm.group.membership.live("dc1")) for vm in cut}, {3})
+        fleet.network.sides.clear()
+        await fleet.seconds_to_all(cut, 15.0)
+        await asyncio.sleep(10)
+        self.assertEqual({vm.tables.version for vm in fleet.vms}, {2})
+        self.assertEqual(len({vm.group.membership.digest for vm in fleet.vms}), 1)
+        await fleet.stop()
+
+    @virtual_time
+    async def test_store_that_went_back_and_stale_peer_do_not_win(self) -> None:
+        fleet = Fleet(3, 1)
+        await fleet.start()
+        await fleet.change()
+        await fleet.seconds_to_all(fleet.vms, IN_FORCE_SECONDS)
+        path = "/v1/objects/table/current"
+        rows = (Row("*", "closure", Rank.URGENT, 9.0),)
+        old = TableDocument(Table(1, rows))
+        await fleet.vms[0].store.write(
+            type(SHARD_MAP)("table", "current"), old, fleet.platform.objects[path].etag
+        )
+        late = Vm(77, "dc0", fleet.platform, fleet.network, (fleet.vms[0].address,))
+        late.tables.install(old)
+        late.start()
+        fleet.vms.append(late)
+        await asyncio.sleep(60)
+        self.assertEqual({vm.tables.version for vm in fleet.vms}, {2})
+        await fleet.editor.apply(Proposal("lift", rows, (0.0, 0.1, 0.05), 1, above=2), 0.0)
+        fleet.version = 3
+        await fleet.seconds_to_all(fleet.vms, IN_FORCE_SECONDS)
+        await fleet.stop()
+
+    @virtual_time
+    async def test_vm_that_starts_in_an_outage_learns_from_peers_or_says_it_is_not_ready(
+        self,
+    ) -> None:
+        fleet = Fleet(6, 2)
+        await fleet.start()
+        fleet.platform.set_outage(True)
+        late = Vm(77, "dc0", fleet.platform, fleet.network, (fleet.vms[0].address,))
+        alone = Vm(78, "dc0", fleet.platform, fleet.network)
+        fleet.network.sides[alone.address] = 1
+        for vm in (late, alone):
+            vm.start()
+        await fleet.seconds_to_all([late], IN_FORCE_SECONDS)
+        await asyncio.sleep(1)
+        self.assertTrue(late.group.ready)
+        self.assertFalse(alone.group.ready)
+        self.assertIn("no table from the store or a peer", alone.group.lacking)
+        fleet.vms += [late, alone]
+        await fleet.stop()
+
+    @virtual_time
+    async def test_calls_at_the_store_do_not_grow_with_the_data_centre(self) -> None:
+        calls = {}
+        for count in (4, 24):
+            fleet = Fleet(count, 1)
+            await fleet.start()
+            await asyncio.sleep(40)
+            before = fleet.platform.calls
+            await asyncio.sleep(120)
+            calls[count] = fleet.platform.calls - before
+            await fleet.stop()
+        self.assertLess(calls[24] / 24, calls[4] / 4 / 2)
+
+
+class MembershipTest(unittest.TestCase):
+    @virtual_time
+    async def test_killed_leaving_and_restarted_vms_are_known_as_such(self) -> None:
+        fleet = Fleet(6, 1)
+        await fleet.start()
+        killed, left, *others = fleet.vms
+        await killed.kill()
+        left.group.leave()
+        await asyncio.sleep(1)
+        roster = others[0].group.membership
+        self.assertEqual(roster.condition(left.address), Condition.LEAVING)
+        self.assertNotIn(left.address, [member.address for member in roster.live("dc0")])
+        await left.stop()
+        await asyncio.sleep(14)
+        for vm in others:
+            roster = vm.group.membership
+            self.assertEqual(roster.condition(killed.address), Condition.GONE)
+            self.assertEqual(roster.condition(left.address), Condition.ENDED)
+            self.assertEqual(roster.possible("dc0"), 5)
+        again = Vm(0, "dc0", fleet.platform, fleet.network, (others[0].address,), incarnation=2)
+        again.start()
+        await asyncio.sleep(3)
+        for vm in others:
+            found = [one for one in vm.group.membership.live("dc0") if one.address == again.address]
+            self.assertEqual([one.incarnation for one in found], [2])
+        fleet.vms = [again, *others]
+        await fleet.stop()
+
+    @virtual_time
+    async def test_same_address_with_an_older_clock_still_comes_back(self) -> None:
+        fleet = Fleet(3, 1)
+        await fleet.start()
+        await fleet.vms[0].kill()
+        await asyncio.sleep(12)
+        again = Vm(0, "dc0", fleet.platform, fleet.network, incarnation=0)
+        again.start()
+        await asyncio.sleep(5)
+        self.assertEqual(len(fleet.vms[1].group.membership.live("dc0")), 3)
+        self.assertGreater(again.group.membership.own.incarnation, 1)
+        fleet.vms[0] = again
+        await fleet.stop()
+
+    @virtual_time
+    async def test_paused_vm_is_suspected_and_contradicts_when_it_goes_on(self) -> None:
+        fleet = Fleet(6, 1)
+        await fleet.start()
+        paused, *others = fleet.vms
+        fleet.network.paused.add(paused.address)
+        await asyncio.sleep(14)
+        for vm in others:
+            self.assertEqual(vm.group.membership.condition(paused.address), Condition.GONE)
+            self.assertEqual(vm.group.membership.possible("dc0"), 6)
+        fleet.network.paused.clear()
+        await asyncio.sleep(15)
+        for vm in fleet.vms:
+            self.assertEqual(len(vm.group.membership.live("dc0")), 6)
+        await fleet.stop()
+
+    @virtual_time
+    async def test_links_stay_bounded_and_the_ring_holds_together(self) -> None:
+        for count in (3, 24, 60):
+            fleet = Fleet(count, 1)
+            await fleet.start()
+            await asyncio.sleep(16)
+            most = max(len(vm.group.bus.links) for vm in fleet.vms)
+            self.assertLessEqual(most, 14)
+            self.assertEqual({len(vm.group.membership.live("dc0")) for vm in fleet.vms}, {count})
+            await fleet.stop()
+
+    def test_ring_of_213_joins_all_within_8_links_at_degree_8(self) -> None:
+        names = [f"10.0.{number}.1:7000" for number in range(213)]
+        near: dict[str, set[str]] = {name: set() for name in names}
+        for name in names:
+            for other in ring_neighbours(name, names):
+                near[name].add(other)
+                near[other].add(name)
+        self.assertLessEqual(max(map(len, near.values())), 8)
+        seen = {names[0]}
+        steps = 0
+        while len(seen) < len(names):
+            seen |= {other for name in seen for other in near[name]}
+            steps += 1
+        self.assertLessEqual(steps, 8)
--- a/auburncart/standins/fakes.py
+++ b/auburncart/standins/fakes.py
@@ -72,9 +72,12 @@
             raise StoreUnavailableError("cut off", step="store")
         try:
             async with asyncio.timeout(self._timeout + wait):
-                return await call
+                reply = await call
         except (PlatformOutageError, TimeoutError) as error:
             raise StoreUnavailableError(str(error) or "no reply", step="store") from error
+        if self.cut:
+            raise StoreUnavailableError("cut off before the reply", step="store")
+        return reply
 
 
 class FakeConnection(UpstreamConnection):
--- a/auburncart/state/fact.py
+++ b/auburncart/state/fact.py
@@ -6,13 +6,28 @@
 
 from typing import Any, NamedTuple
 
+from auburncart.state.link import Versions
+from auburncart.state.member import Member
+from auburncart.state.shards import ShardMap
 from auburncart.state.table import TableDocument
 
-__all__ = ["FACTS", "QueryLoss", "TableNews"]
+__all__ = [
+    "FACTS",
+    "MapAsk",
+    "MapNews",
+    "MemberNews",
+    "NoAnswer",
+    "QueryLoss",
+    "Roll",
+    "StatusAsk",
+    "StatusNews",
+    "TableAsk",
+    "TableNews",
+]
 
 
 class TableNews(NamedTuple):
-    """A table that is in force at the origin."""
+    """A table that is in force at the origin, without older audit entries."""
 
     document: TableDocument
 
@@ -30,4 +45,72 @@
     alone: bool
 
 
-FACTS: tuple[type[tuple[Any, ...]], ...] = (TableNews, QueryLoss)
+class NoAnswer(NamedTuple):
+    """Answer of a VM that has no answer to a question."""
+
+    reason: str
+
+
+class TableAsk(NamedTuple):
+    """Question for a table newer than this version."""
+
+    version: int
+
+
+class MapAsk(NamedTuple):
+    """Question for a shard map newer than this version."""
+
+    version: int
+
+
+class MapNews(NamedTuple):
+    """A shard map that is in force at the origin."""
+
+    shard_map: ShardMap
+
+
+class MemberNews(NamedTuple):
+    """What is believed of a VM.
+
+    :param member: the VM with its condition.
+    :param turn: number that only the VM itself raises, to contradict what others say of it.
+    """
+
+    member: Member
+    turn: int
+
+
+class Roll(NamedTuple):
+    """Much news of members at once."""
+
+    news: tuple[MemberNews, ...]
+
+
+class StatusAsk(NamedTuple):
+    """Question for what is in force on a VM."""
+
+
+class StatusNews(NamedTuple):
+    """What is in force on a VM.
+
+    :param versions: its versions.
+    :param ready: whether it serves.
+    :param lacking: what it lacks to be ready, "" if nothing.
+    """
+
+    versions: Versions
+    ready: bool
+    lacking: str
+
+
+FACTS: tuple[type[tuple[Any, ...]], ...] = (
+    TableNews,
+    QueryLoss,
+    NoAnswer,
+    TableAsk,
+    MapAsk,
+    MapNews,
+    Roll,
+    StatusAsk,
+    StatusNews,
+)
--- a/auburncart/state/member.py
+++ b/auburncart/state/member.py
@@ -7,12 +7,17 @@
 
 
 class Condition(Enum):
-    """Condition of a VM as others know it."""
+    """Condition of a VM as others know it.
+
+    ``GONE`` is what others conclude from its silence; ``ENDED`` is what it said itself, or what
+    the platform's list confirms: only then is it certain that it does nothing any more.
+    """
 
     LIVE = "live"
     SUSPECT = "suspect"
     LEAVING = "leaving"
     GONE = "gone"
+    ENDED = "ended"
 
 
 class Member(NamedTuple):
--- /dev/null
+++ b/auburncart/transport/peer.py
@@ -0,0 +1,164 @@
+"""Links between entry VMs over websockets."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection, broadcast
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.http11 import Request, Response
+
+from auburncart.coordination import PeerDialer, PeerLink
+from auburncart.exception import LinkError, ProtocolError
+from auburncart.protocol import peer as protocol
+from auburncart.state import LinkMessage
+
+__all__ = ["WebSocketDialer", "WebSocketLink", "WebSocketListener"]
+
+CONNECT_SECONDS = 1.0
+UPGRADE_SECONDS = 2.0
+CLOSE_SECONDS = 0.5
+MAX_UNSENT_BYTES = 4 * 1024 * 1024
+MAX_QUEUED_FRAMES = 4
+MOST_CONNECTIONS = 256
+CLOSE_CODE = 1008
+MAX_REASON_BYTES = 120
+
+
+class WebSocketLink(PeerLink):
+    """A link over one websocket connection.
+
+    :param connection: the connection, not read by anything else.
+    :param address: address of the other side.
+    """
+
+    def __init__(self, connection: Connection, address: str) -> None:
+        self._connection = connection
+        self._address = address
+
+    @property
+    def address(self) -> str:
+        """Address of the other side."""
+        return self._address
+
+    def post(self, message: LinkMessage) -> None:
+        """Write a message; the link ends if too much is still unsent."""
+        transport = self._connection.transport
+        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            transport.abort()
+            return
+        broadcast((self._connection,), protocol.encode_message(message))
+
+    async def receive(self) -> LinkMessage:
+        """Wait for a message."""
+        try:
+            data = await self._connection.recv()
+        except ConnectionClosed as error:
+            raise LinkError(str(error), step="receive", peer=self._address) from error
+        try:
+            return protocol.decode_message(data)
+        except ProtocolError as error:
+            raise ProtocolError(error.reason, step="decode", peer=self._address) from error
+
+    def trust(self) -> None:
+        """Accept messages up to the protocol's full length."""
+        self._connection.protocol.max_message_size = protocol.MAX_MESSAGE_BYTES
+
+    async def close(self, reason: str) -> None:
+        """Close with a reason, within a bound."""
+        short = reason.encode()[:MAX_REASON_BYTES].decode(errors="ignore")
+        try:
+            async with asyncio.timeout(2 * CLOSE_SECONDS):
+                await self._connection.close(CLOSE_CODE, short)
+        except TimeoutError:
+            self._connection.transport.abort()
+
+
+class WebSocketDialer(PeerDialer):
+    """Opens links by websockets."""
+
+    async def connect(self, address: str) -> WebSocketLink:
+        """Open a link."""
+        host, port = address.rsplit(":", 1)
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                connection = await connect(
+                    f"ws://{address}/",
+                    host=host,
+                    port=int(port),
+                    proxy=None,
+                    compression=None,
+                    ping_interval=None,
+                    open_timeout=None,
+                    close_timeout=CLOSE_SECONDS,
+                    max_size=protocol.MAX_GREETING_BYTES,
+                    max_queue=MAX_QUEUED_FRAMES,
+                    user_agent_header=None,
+                )
+        except (OSError, TimeoutError, WebSocketException) as error:
+            reason = f"{type(error).__name__}: {error}"
+            raise LinkError(reason, step="connect", peer=address) from error
+        return WebSocketLink(connection, address)
+
+
+class WebSocketListener:
+    """Accepts links on a port, each in a task of its own.
+
+    :param address: ``"IP:port"`` to listen on.
+    :param accept: serves one link until it ends.
+    """
+
+    def __init__(self, address: str, accept: Callable[[PeerLink], Awaitable[None]]) -> None:
+        self._address = address
+        self._accept = accept
+        self._server: Server | None = None
+        self._open = 0
+
+    @property
+    def address(self) -> str:
+        """``"IP:port"`` that the listener listens on."""
+        if self._server is None:
+            return self._address
+        host, port = next(iter(self._server.sockets)).getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def start(self) -> None:
+        """Listen."""
+        host, port = self._address.rsplit(":", 1)
+        self._server = await serve(
+            self._handle,
+            host,
+            int(port),
+            process_request=self._admit,
+            compression=None,
+            ping_interval=None,
+            open_timeout=UPGRADE_SECONDS,
+            close_timeout=CLOSE_SECONDS,
+            max_size=protocol.MAX_GREETING_BYTES,
+            max_queue=MAX_QUEUED_FRAMES,
+            server_header=None,
+        )
+
+    async def stop(self) -> None:
+        """Stop listening and close all links."""
+        if self._server is not None:
+            self._server.close()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(2 * CLOSE_SECONDS):
+                    await self._server.wait_closed()
+
+    def _admit(self, connection: ServerConnection, request: Request) -> Response | None:
+        if self._open >= MOST_CONNECTIONS:
+            return connection.respond(HTTPStatus.SERVICE_UNAVAILABLE, "too many links\n")
+        return None
+
+    async def _handle(self, connection: ServerConnection) -> None:
+        host, port = (connection.remote_address or ("", 0))[:2]
+        self._open += 1
+        try:
+            await self._accept(WebSocketLink(connection, f"{host}:{port}"))
+        finally:
+            self._open -= 1
--- /dev/null
+++ b/auburncart/transport/tests/test_peer.py
@@ -0,0 +1,180 @@
+import asyncio
+import unittest
+
+import cbor2
+import eliot
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
+
+from auburncart.coordination import SilentObserver
+from auburncart.coordination.handshake import KeyRing
+from auburncart.coordination.peers import Peers
+from auburncart.exception import LinkError, ProtocolError
+from auburncart.protocol.peer import MAX_GREETING_BYTES, decode_message, encode_message
+from auburncart.state import (
+    Goodbye,
+    Heartbeat,
+    Hello,
+    Member,
+    QueryLoss,
+    StatusAsk,
+    StatusNews,
+    Versions,
+)
+from auburncart.tests.virtual import virtual_time
+from auburncart.transport.peer import WebSocketDialer, WebSocketListener
+
+STATUS = StatusNews(Versions(3), True, "")
+
+
+class Side:
+    """One VM's links over real websockets."""
+
+    def __init__(self, address: str, *keys: str) -> None:
+        self.member = Member(address, "dc1", 1)
+        self.facts: list[tuple[object, Member]] = []
+        self.peers = Peers(
+            lambda: self.member,
+            lambda: Heartbeat(Versions(), 0),
+            WebSocketDialer(),
+            KeyRing(keys),
+            SilentObserver(),
+        )
+        self.peers.subscribe(QueryLoss, lambda fact, origin: self.facts.append((fact, origin)))
+        self.peers.serve(StatusAsk, self._status)
+        self.listener = WebSocketListener(address, self.peers.accept)
+
+    async def _status(self, question: StatusAsk, origin: Member) -> StatusNews:
+        return STATUS
+
+    async def start(self) -> None:
+        await self.listener.start()
+        self.beat = asyncio.create_task(self.peers.run())
+
+    async def stop(self) -> None:
+        self.beat.cancel()
+        await self.peers.close("ended")
+        await self.listener.stop()
+
+
+async def sides(*keys: tuple[str, ...]) -> list[Side]:
+    made = [Side(f"10.0.0.{number}:7000", *ring) for number, ring in enumerate(keys)]
+    for side in made:
+        await side.start()
+    return made
+
+
+class LinkTest(unittest.TestCase):
+    @virtual_time
+    async def test_fact_crosses_a_chain_once_and_a_question_is_answered(self) -> None:
+        a, b, c = await sides(("k",), ("k",), ("k",))
+        self.assertTrue(await a.peers.dial(b.member.address))
+        self.assertTrue(await b.peers.dial(c.member.address))
+        self.assertTrue(await c.peers.dial(a.member.address))
+        fact = QueryLoss("d", "10.9.9.9:80", True)
+        a.peers.publish(fact)
+        await asyncio.sleep(10)
+        self.assertEqual((a.facts, b.facts, c.facts), ([], [(fact, a.member)], [(fact, a.member)]))
+        self.assertEqual(await a.peers.ask(c.member, StatusAsk(), 1.0), STATUS)
+        for side in (a, b, c):
+            await side.stop()
+        self.assertEqual(len(b.peers.links), 0)
+
+    @virtual_time
+    async def test_two_keys_are_accepted_while_one_replaces_the_other(self) -> None:
+        for ours, theirs, linked in (
+            (("old",), ("old", "new"), True),
+            (("old", "new"), ("new", "old"), True),
+            (("new", "old"), ("old",), False),
+            (("old",), ("new",), False),
+        ):
+            a, b = await sides(ours, theirs)
+            self.assertEqual(await a.peers.dial(b.member.address), linked, (ours, theirs))
+            self.assertEqual(len(b.peers.links), int(linked))
+            await a.stop()
+            await b.stop()
+
+    @virtual_time
+    async def test_bad_frames_close_their_own_link_with_a_reason(self) -> None:
+        a, b = await sides(("k",), ("k",))
+        await a.peers.dial(b.member.address)
+        hello = encode_message(Hello(1, Member("10.0.0.9:7000", "dc1", 1), "n"))
+        cases = {
+            b"\xff": "CBOR",
+            "text": "text frame",
+            encode_message(Goodbye("x")): "before the greeting",
+            encode_message(Heartbeat(Versions(9), 0)): "before the greeting",
+            cbor2.dumps([0, 1, ["10.0.0.9:7000", "dc1", "1"], "n"]): "Expected `int`",
+            cbor2.dumps([99]): "unknown number",
+            cbor2.dumps([0, 2, ["a", "b", 1, "live"], "n"]): "version 2",
+            b"\x81" * 1000: "depth",
+            cbor2.dumps([0, 1, ["a", "b", 1, "live"], 2**70]): "semantic tag",
+            bytes(MAX_GREETING_BYTES + 1): "1009",
+        }
+        for frame, reason in cases.items():
+            host, port = b.member.address.split(":")
+            async with connect(f"ws://{b.member.address}", host=host, port=int(port)) as raw:
+                await raw.send(frame)
+                with self.assertRaises(ConnectionClosed) as caught:
+                    while True:
+                        await raw.recv()
+                self.assertIn(reason, str(caught.exception))
+        async with connect(f"ws://{b.member.address}", host=host, port=int(port)) as raw:
+            await raw.send(hello)
+            await raw.send(cbor2.dumps([1, "0" * 64]))
+            with self.assertRaisesRegex(ConnectionClosed, "key is not accepted"):
+                while True:
+                    await raw.recv()
+        self.assertEqual(await a.peers.ask(b.member, StatusAsk(), 1.0), STATUS)
+        await a.stop()
+        await b.stop()
+
+    @virtual_time
+    async def test_silent_and_many_strangers_are_ended_within_seconds(self) -> None:
+        (b,) = await sides(("k",))
+        host, port = b.member.address.split(":")
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        raws = [
+            await connect(f"ws://{b.member.address}", host=host, port=int(port)) for _ in range(40)
+        ]
+        for raw in raws:
+            with self.assertRaises(ConnectionClosed):
+                await raw.recv()
+        self.assertLess(loop.time() - began, 4.0)
+        self.assertEqual(len(b.peers.links), 0)
+        await b.stop()
+
+    @virtual_time
+    async def test_link_that_falls_silent_is_ended(self) -> None:
+        a, b = await sides(("k",), ("k",))
+        await a.peers.dial(b.member.address)
+        a.beat.cancel()
+        await asyncio.sleep(4.5)
+        self.assertEqual(len(b.peers.links), 0)
+        with self.assertRaises(LinkError):
+            await a.peers.ask(Member("10.0.0.77:1", "dc1", 1), StatusAsk(), 1.0)
+        await a.stop()
+        await b.stop()
+
+    @virtual_time
+    async def test_keys_reach_no_log_and_no_repr(self) -> None:
+        lines: list[dict] = []
+        eliot.add_destinations(lines.append)
+        try:
+            a, b = await sides(("secret-one",), ("secret-two",))
+            await a.peers.dial(b.member.address)
+            await a.stop()
+            await b.stop()
+        finally:
+            eliot.remove_destination(lines.append)
+        self.assertTrue(any(line["message_type"] == "peer_refused" for line in lines))
+        self.assertNotIn("secret", repr(lines) + repr(KeyRing(("secret-one",))))
+
+
+class CodecTest(unittest.TestCase):
+    def test_reference_cycles_and_wrong_facts_are_refused(self) -> None:
+        cycle = bytes.fromhex("82d81c81d81d0001")
+        for frame in (cycle, cbor2.dumps([3, ["a", "b", 1, "live"], 1, 3, [1, ["d", 5, True]]])):
+            with self.assertRaises(ProtocolError):
+                decode_message(frame)
