--- a/auburncart/coordination/__init__.py
+++ b/auburncart/coordination/__init__.py
@@ -2,7 +2,9 @@
 
 from auburncart.coordination.catalogue import SHARD_MAP, Catalogue
 from auburncart.coordination.change import Accepted, Author, Proposal, TableEditor
+from auburncart.coordination.claims import Claims, StoredClaims
 from auburncart.coordination.fleet import Fleet
+from auburncart.coordination.holder import ClaimHolder
 from auburncart.coordination.interfaces import (
     Key,
     Membership,
@@ -17,7 +19,7 @@
 from auburncart.coordination.node import Node
 from auburncart.coordination.observer import Observer, SilentObserver
 from auburncart.coordination.order import OrderService
-from auburncart.coordination.policies import Policies, baseline_policies
+from auburncart.coordination.policies import Policies, baseline_policies, default_policies
 from auburncart.coordination.search import SearchService
 from auburncart.coordination.table import TABLE, TableKeeper
 from auburncart.coordination.upstream import Upstream
@@ -26,6 +28,8 @@
     "Accepted",
     "Author",
     "Catalogue",
+    "ClaimHolder",
+    "Claims",
     "Fleet",
     "Key",
     "Membership",
@@ -42,6 +46,7 @@
     "SilentObserver",
     "Store",
     "Stored",
+    "StoredClaims",
     "TABLE",
     "TableEditor",
     "TableKeeper",
@@ -49,4 +54,5 @@
     "UpstreamConnection",
     "UpstreamDialer",
     "baseline_policies",
+    "default_policies",
 ]
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -1,14 +1,21 @@
 """One VM's decisions put together, whatever its store, upstreams and front ends are made of."""
 
 import asyncio
+import random
+import uuid
 
+from auburncart.coordination.backoff import Backoff
 from auburncart.coordination.catalogue import Catalogue
+from auburncart.coordination.claims import StoredClaims
 from auburncart.coordination.fleet import Fleet
+from auburncart.coordination.guard import GuardedStore
+from auburncart.coordination.holder import ClaimHolder
 from auburncart.coordination.interfaces import Store, UpstreamDialer
 from auburncart.coordination.observer import Observer
 from auburncart.coordination.order import OrderService
 from auburncart.coordination.policies import Policies
 from auburncart.coordination.search import SearchService
+from auburncart.coordination.shutdown import Drain
 from auburncart.coordination.table import TableKeeper
 from auburncart.coordination.upstream import Upstream
 from auburncart.state import Replica
@@ -25,6 +32,7 @@
     :param dialer: opens connections to upstreams.
     :param policies: the policies to decide by.
     :param observer: told of what happens.
+    :param epoch: seconds since the epoch at loop time 0.
     """
 
     def __init__(
@@ -35,6 +43,7 @@
         dialer: UpstreamDialer,
         policies: Policies,
         observer: Observer,
+        epoch: float = 0.0,
     ) -> None:
         self._name = name
         self._data_centre = data_centre
@@ -44,13 +53,15 @@
         self._observer = observer
         self._catalogue = Catalogue()
         self._tables = TableKeeper()
+        policies.admission.follow(self._tables, self._catalogue)
+        self._drain = Drain(self._prepared)
         self._fleet = Fleet(self._make_upstream)
         self._searches = SearchService(
             self._catalogue, self._tables, self._fleet, policies, observer
         )
-        self._orders = OrderService(
-            name, store, self._catalogue, self._tables, self._fleet, policies.choice, observer
-        )
+        guarded = GuardedStore(store, Backoff(random.Random(f"{name}/store")))
+        self._claims = StoredClaims(guarded)
+        self._orders = self._make_orders(epoch)
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -63,6 +74,16 @@
         """Data centre in which the VM runs."""
         return self._data_centre
 
+    @property
+    def ready(self) -> bool:
+        """Whether new requests should come here: a table and a shard map are in force."""
+        return self._drain.ready
+
+    @property
+    def drain(self) -> Drain:
+        """The requests in flight."""
+        return self._drain
+
     @property
     def tables(self) -> TableKeeper:
         """The table in force."""
@@ -88,18 +109,43 @@
         """The service that carries out orders."""
         return self._orders
 
+    async def wait_until_ready(self) -> None:
+        """Wait for the first table and the first shard map."""
+        await self._tables.wait()
+        await self._catalogue.wait()
+
     def start(self) -> None:
         """Begin to follow the store, each object in a task of its own."""
-        self._tasks.append(asyncio.create_task(self._tables.follow(self._store), name="table"))
-        self._tasks.append(asyncio.create_task(self._catalogue.follow(self._store), name="shards"))
+        tables = self._tables.follow(self._store, random.Random(f"{self._name}/table"))
+        shards = self._catalogue.follow(self._store, random.Random(f"{self._name}/shards"))
+        self._tasks.append(asyncio.create_task(tables, name="table"))
+        self._tasks.append(asyncio.create_task(shards, name="shards"))
 
     async def stop(self) -> None:
-        """End the tasks and all connections to upstreams."""
+        """End the tasks, the orders at work and all connections to upstreams."""
+        await self._orders.close(0.0)
+        await self._claims.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._fleet.close()
 
+    def _prepared(self) -> bool:
+        return self._tables.table is not None and self._catalogue.current is not None
+
+    def _make_orders(self, epoch: float) -> OrderService:
+        process = f"{self._name}/{uuid.uuid4().hex[:12]}"
+        rng = random.Random(self._name)
+        return OrderService(
+            ClaimHolder(process, self._claims, self._observer, rng),
+            self._catalogue,
+            self._tables,
+            self._fleet,
+            self._policies.choice,
+            self._observer,
+            epoch,
+        )
+
     def _make_upstream(self, replica: Replica) -> Upstream:
         return Upstream(
             replica,
--- a/auburncart/coordination/table.py
+++ b/auburncart/coordination/table.py
@@ -1,16 +1,15 @@
 """The table in force on this VM."""
 
 import asyncio
+import random
 
+from auburncart.coordination.follow import follow
 from auburncart.coordination.interfaces import Key, Store
-from auburncart.exception import StoreUnavailableError
 from auburncart.state import Table, TableDocument
 
 __all__ = ["TABLE", "TableKeeper"]
 
 TABLE: Key[TableDocument] = Key("table", "current")
-WATCH_SECONDS = 20.0
-RETRY_SECONDS = 1.0
 
 
 class TableKeeper:
@@ -18,6 +17,7 @@
 
     def __init__(self) -> None:
         self._document: TableDocument | None = None
+        self._arrived = asyncio.Event()
 
     @property
     def table(self) -> Table | None:
@@ -34,6 +34,10 @@
         """Version of the table in force, 0 before the first."""
         return self._document.table.version if self._document else 0
 
+    async def wait(self) -> None:
+        """Wait until one is in force."""
+        await self._arrived.wait()
+
     def install(self, document: TableDocument) -> bool:
         """Put a table in force if it is newer than the one in force.
 
@@ -42,17 +46,12 @@
         if self._document is not None and document.table.version <= self._document.table.version:
             return False
         self._document = document
+        self._arrived.set()
         return True
 
-    async def follow(self, store: Store) -> None:
-        """Watch the store and put each new table in force; runs until cancelled."""
-        etag = ""
-        while True:
-            try:
-                stored = await store.watch(TABLE, etag, WATCH_SECONDS)
-            except StoreUnavailableError:
-                await asyncio.sleep(RETRY_SECONDS)
-                continue
-            if stored is not None:
-                etag = stored.etag
-                self.install(stored.value)
+    async def follow(self, store: Store, rng: random.Random) -> None:
+        """Watch the store and put each new table in force; runs until cancelled.
+
+        :param rng: source of the jitter between failed tries.
+        """
+        await follow(store, TABLE, self.install, rng)
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -27,7 +27,19 @@
     Versions,
 )
 from auburncart.state.member import Condition, Member
-from auburncart.state.order import Claim, ClaimState, OrderAnswer, OrderRequest
+from auburncart.state.order import (
+    Claim,
+    ClaimBucket,
+    ClaimChange,
+    ClaimQuestion,
+    ClaimReply,
+    ClaimState,
+    ClaimStep,
+    ClaimVerdict,
+    OrderAnswer,
+    OrderRequest,
+    Verdict,
+)
 from auburncart.state.search import (
     Coverage,
     Hit,
@@ -64,7 +76,13 @@
     "Batch",
     "BatchReply",
     "Claim",
+    "ClaimBucket",
+    "ClaimChange",
+    "ClaimQuestion",
+    "ClaimReply",
     "ClaimState",
+    "ClaimStep",
+    "ClaimVerdict",
     "Condition",
     "Coverage",
     "FACTS",
@@ -112,6 +130,7 @@
     "TableNews",
     "UpstreamCondition",
     "UpstreamOrder",
+    "Verdict",
     "Versions",
     "Work",
     "coverage_of",
--- a/auburncart/state/fact.py
+++ b/auburncart/state/fact.py
@@ -8,6 +8,7 @@
 
 from auburncart.state.link import Versions
 from auburncart.state.member import Member
+from auburncart.state.order import ClaimQuestion, ClaimReply
 from auburncart.state.shards import ShardMap
 from auburncart.state.table import TableDocument
 
@@ -106,6 +107,8 @@
 FACTS: tuple[type[tuple[Any, ...]], ...] = (
     TableNews,
     QueryLoss,
+    ClaimQuestion,
+    ClaimReply,
     NoAnswer,
     TableAsk,
     MapAsk,
--- a/auburncart/transport/http.py
+++ b/auburncart/transport/http.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 from collections.abc import Mapping
+from http.client import HTTPException
 from typing import NamedTuple
 
 from urllib3.connection import HTTPConnection
@@ -14,6 +15,8 @@
 
 __all__ = ["HttpConnection", "HttpReply"]
 
+BROKEN = (HTTPError, HTTPException, OSError, ValueError)  # what a broken reply may raise
+
 
 class HttpReply(NamedTuple):
     """Status, headers and body of a reply."""
@@ -37,6 +40,13 @@
         self._most_bytes = most_bytes
         self._worker = Worker(f"http-{address}")
         self._http = HTTPConnection(host, int(port), timeout=connect_seconds)
+        self._http.auto_open = 0  # a connection that was lost is never opened anew by a request
+        self._closed = False
+
+    @property
+    def connected(self) -> bool:
+        """Whether it is open and nothing has arrived on it, as far as this side can tell."""
+        return self._http.is_connected
 
     async def connect(self) -> None:
         """Open the connection.
@@ -44,7 +54,7 @@
         :raises LinkError: the server could not be reached.
         """
         try:
-            await self._worker.run(self._http.connect)
+            await self._worker.run(self.connect_here)
         except (HTTPError, OSError) as error:
             self.close()
             reason = f"{type(error).__name__}: {error}"
@@ -61,9 +71,11 @@
         :param seconds: time limit for each wait on the socket.
         :raises LinkError: no whole reply arrived.
         """
+        if self._closed:
+            raise LinkError("the connection is closed", step="send", peer=self._address)
         try:
-            return await self._worker.run(self._call, method, path, body, headers, seconds)
-        except (HTTPError, OSError, ValueError) as error:
+            return await self._worker.run(self.request_here, method, path, body, headers, seconds)
+        except BROKEN as error:
             self.close()
             reason = f"{type(error).__name__}: {error}"
             raise LinkError(reason, step="reply", peer=self._address) from error
@@ -71,19 +83,14 @@
             self.close()
             raise
 
-    def close(self) -> None:
-        """Shut the socket down, which also ends a call at work, and let the thread end."""
-        sock = self._http.sock
-        if sock is not None:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-            with contextlib.suppress(OSError):
-                sock.close()
-        self._worker.stop()
+    def connect_here(self) -> None:
+        """Open the connection on the calling thread, which blocks."""
+        self._http.connect()
 
-    def _call(
+    def request_here(
         self, method: str, path: str, body: bytes | None, headers: dict[str, str], seconds: float
     ) -> HttpReply:
+        """Send one request on the calling thread, which blocks until the reply is there."""
         self._http.timeout = seconds
         if self._http.sock is not None:
             self._http.sock.settimeout(seconds)
@@ -94,3 +101,14 @@
             raise HTTPError(f"reply longer than {self._most_bytes} bytes")
         response.read()
         return HttpReply(response.status, response.headers, data)
+
+    def close(self) -> None:
+        """Shut the socket down, which also ends a call at work, and let the thread end."""
+        self._closed = True
+        sock = self._http.sock
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            with contextlib.suppress(OSError):
+                sock.close()
+        self._worker.stop()
--- a/auburncart/transport/tests/test_peer.py
+++ b/auburncart/transport/tests/test_peer.py
@@ -168,7 +168,7 @@
             await b.stop()
         finally:
             eliot.remove_destination(lines.append)
-        self.assertTrue(any(line["message_type"] == "peer_refused" for line in lines))
+        self.assertTrue(any(line.get("message_type") == "peer_refused" for line in lines))
         self.assertNotIn("secret", repr(lines) + repr(KeyRing(("secret-one",))))
 
 
