Bench: control's slopes and bounds, request cost on loopback, a picture of a run

Slopes are lines through three or more sizes by least squares: objects of the store, decisions over upstreams that answer at once, memory by tracemalloc, requests by the real HTTP transport.

--- a/auburncart/bench/report.py
+++ b/auburncart/bench/report.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Sequence
 
+from auburncart.bench.bounds import Bound
+from auburncart.bench.fit import Slope
 from auburncart.bench.measure import RunFigures
 
-__all__ = ["run_table"]
+__all__ = ["bound_table", "run_table", "slope_table"]
 
 HEAD = (
     f"{'policies':<10}{'rank':<12}{'offered':>8}{'refused':>8}{'p50 ms':>9}{'p99 ms':>9}"
@@ -50,3 +52,27 @@
         f"{run['replicas_lost']} replicas lost to a query; "
         f"{run['false_complete']} answers with untrue coverage"
     )
+
+
+def slope_table(slopes: Sequence[Slope]) -> str:
+    """Return a table of slopes with the points that they were fitted to."""
+    lines = []
+    for slope in slopes:
+        points = ", ".join(f"{point.size:g}: {point.value:,.1f}" for point in slope.points)
+        lines += [
+            f"{slope.name} ({slope.unit} by {slope.by})",
+            f"    points  {points}",
+            f"    line    {slope.fixed:,.1f} + {slope.slope:,.4g} x {slope.by}, "
+            f"r^2 {slope.r_squared:.4f}",
+        ]
+    return "\n".join(lines) + "\n"
+
+
+def bound_table(bounds: Sequence[Bound]) -> str:
+    """Return a table of bounds and whether they were kept."""
+    lines = [
+        f"{bound.name:<34}{bound.value:>16,.5g} of {bound.most:>12,g} {bound.unit:<8}"
+        f"{'kept' if bound.kept else 'EXCEEDED'}"
+        for bound in bounds
+    ]
+    return "\n".join(lines) + "\n"
--- a/auburncart/command/bench.py
+++ b/auburncart/command/bench.py
@@ -1,13 +1,18 @@
 """``auburncart bench``: measurements."""
 
 import sys
+from pathlib import Path
 
 import msgspec
 from cyclopts import App
 
+from auburncart.bench.bounds import control_bounds
 from auburncart.bench.cases import CASES
+from auburncart.bench.control import decision_slopes, object_slopes
+from auburncart.bench.loopback import control_cost, transport_slope
 from auburncart.bench.measure import RunFigures
-from auburncart.bench.report import run_table
+from auburncart.bench.plot import plot_runs
+from auburncart.bench.report import bound_table, run_table, slope_table
 from auburncart.bench.run import run_case
 from auburncart.bench.site import load_site
 from auburncart.bench.tier import POLICIES
@@ -15,6 +20,7 @@
 __all__ = ["app"]
 
 DEFAULT_SECONDS = 10.0
+EXIT_EXCEEDED = 1
 
 app = App(name="bench", help="Measure the decisions of the tier.")
 
@@ -28,6 +34,7 @@
     seed: int = 1,
     seconds: float = DEFAULT_SECONDS,
     json: bool = False,
+    plot: Path | None = None,
 ) -> int:
     """Run one case on virtual time over the real decisions, and print its figures.
 
@@ -37,10 +44,13 @@
     :param seed: seed of arrivals, service times and faults; the same seed gives the same figures.
     :param seconds: measured time in virtual seconds, after one second of warm-up.
     :param json: print one JSON array in place of the table.
+    :param plot: file for a picture of latency by rank and coverage over time, such as ``run.svg``.
     """
     loaded = load_site(site)
     names = tuple(POLICIES) if policies == "both" else (policies,)
     results = [run_case(loaded, case, name, seed, seconds) for name in names]
+    if plot is not None:
+        plot_runs(results, plot)
     _print([result.figures for result in results], json)
     return 0
 
@@ -53,6 +63,27 @@
     return 0
 
 
+@app.command
+def control(*, check: bool = False, json: bool = False) -> int:
+    """Measure the slopes of what a daemon spends, and compare control with its bounds.
+
+    Exit code 1 with ``--check`` if a bound is exceeded.
+
+    :param check: measure the bounds only, and judge them by the exit code.
+    :param json: print one JSON object in place of the tables.
+    """
+    slopes = [] if check else [*object_slopes(), *decision_slopes(), transport_slope()]
+    cost = control_cost()
+    bounds = control_bounds(cost)
+    if json:
+        fields = {"slopes": slopes, "control": cost, "bounds": bounds}
+        sys.stdout.write(msgspec.json.encode(fields).decode() + "\n")
+    else:
+        sys.stdout.write(slope_table(slopes) + bound_table(bounds))
+    exceeded = any(not bound.kept for bound in bounds)
+    return EXIT_EXCEEDED if check and exceeded else 0
+
+
 def _print(figures: list[RunFigures], json: bool) -> None:
     if json:
         sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
