--- a/auburncart/command/bench.py
+++ b/auburncart/command/bench.py
@@ -15,7 +15,9 @@
 from auburncart.bench.report import bound_table, run_table, slope_table
 from auburncart.bench.run import run_case
 from auburncart.bench.site import load_site
+from auburncart.bench.summary import summary_table
 from auburncart.bench.tier import POLICIES
+from auburncart.exception import InputError
 
 __all__ = ["app"]
 
@@ -63,6 +65,17 @@
     return 0
 
 
+@app.command
+def summary(*files: Path) -> int:
+    """Print runs side by side as a Markdown table.
+
+    :param files: outputs of ``bench run --json``, those of the case ``calm`` among them.
+    """
+    runs = [figures for file in files for figures in _read(file)]
+    sys.stdout.write(summary_table(runs))
+    return 0
+
+
 @app.command
 def control(*, check: bool = False, json: bool = False) -> int:
     """Measure the slopes of what a daemon spends, and compare control with its bounds.
@@ -84,6 +97,13 @@
     return EXIT_EXCEEDED if check and exceeded else 0
 
 
+def _read(file: Path) -> list[RunFigures]:
+    try:
+        return msgspec.json.decode(file.read_bytes(), type=list[RunFigures])
+    except (OSError, msgspec.DecodeError) as error:
+        raise InputError(f"{file}: {error}", step="bench") from error
+
+
 def _print(figures: list[RunFigures], json: bool) -> None:
     if json:
         sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
