Orders: another replica if not sent, and a VM without table or map says it is not ready

Cause: an order whose first replica could not be reached was refused although another held the shard; a VM that had no table yet answered 400 'no row'. Both tests failed first. Tests of a key too old, too new, and of a newer period in an old key's place passed at once.

--- a/auburncart/coordination/order.py
+++ b/auburncart/coordination/order.py
@@ -20,6 +20,7 @@
     ClaimState,
     ClaimVerdict,
     OrderAnswer,
+    OrderReply,
     OrderRequest,
     Ran,
     Refusal,
@@ -78,9 +79,10 @@
 
     async def order(self, request: OrderRequest) -> Result[OrderAnswer, Refusal]:
         """Carry out one order, or say truly what became of it."""
-        row = self._row(request)
-        if row is None:
-            return Error(OrderRefusals(request).no_row())
+        found = self._row(request)
+        if found.is_error():
+            return Error(found.error)
+        row = found.ok
         task = asyncio.create_task(self._observed(request, row), name=f"order {request.request_id}")
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -100,9 +102,12 @@
             task.cancel()
         return left + await self._holder.close(until)
 
-    def _row(self, request: OrderRequest) -> Row | None:
+    def _row(self, request: OrderRequest) -> Result[Row, Refusal]:
         table = self._tables.table
-        return find_row(table, request.customer, request.kind) if table else None
+        if table is None:
+            return Error(OrderRefusals(request).not_ready("table"))
+        row = find_row(table, request.customer, request.kind)
+        return Ok(row) if row else Error(OrderRefusals(request).no_row())
 
     async def _observed(self, request: OrderRequest, row: Row) -> Result[OrderAnswer, Refusal]:
         loop = asyncio.get_running_loop()
@@ -123,16 +128,18 @@
         if age.expired or age.ahead:
             return Error(refusals.expired() if age.expired else refusals.ahead())
         shard_map = self._catalogue.current
-        shard = shard_map.shards.get(request.shard) if shard_map else None
+        if shard_map is None:
+            return Error(refusals.not_ready("shard map"))
+        shard = shard_map.shards.get(request.shard)
         if shard is None:
             return Error(refusals.no_shard())
-        upstream = self._choice.choose(self._fleet.candidates(shard), now)
-        if upstream is None:
+        candidates = self._fleet.candidates(shard)
+        if self._choice.choose(candidates, now, request.deadline) is None:
             return Error(refusals.no_upstream())
-        return await self._claimed(request, upstream)
+        return await self._claimed(request, candidates)
 
     async def _claimed(
-        self, request: OrderRequest, upstream: Upstream
+        self, request: OrderRequest, candidates: list[Upstream]
     ) -> Result[OrderAnswer, Refusal]:
         claim = self._holder.make_claim(request)
         try:
@@ -140,7 +147,7 @@
         except StoreUnavailableError as error:
             return Error(OrderRefusals(request).not_claimed(error))
         if verdict.verdict is Verdict.HELD:
-            return await self._send(request, claim, upstream)
+            return await self._send(request, claim, candidates)
         return self._not_held(request, claim, verdict)
 
     def _not_held(
@@ -159,18 +166,10 @@
         )
 
     async def _send(
-        self, request: OrderRequest, claim: Claim, upstream: Upstream
+        self, request: OrderRequest, claim: Claim, candidates: list[Upstream]
     ) -> Result[OrderAnswer, Refusal]:
-        order = UpstreamOrder(
-            request.request_id,
-            request.key,
-            request.shard,
-            request.kind,
-            request.body,
-            request.deadline,
-        )
         try:
-            reply = await upstream.order(order)
+            reply = await self._reply_of_one(request, candidates)
         except UpstreamError as error:
             if error.sent:
                 await self._holder.finish(claim, ClaimState.UNKNOWN, None, request.deadline)
@@ -180,3 +179,32 @@
         state = ClaimState.DONE if reply.accepted else ClaimState.REJECTED
         await self._holder.finish(claim, state, reply.outcome, request.deadline)
         return Ok(OrderAnswer(request.request_id, request.key, RAN_BY_STATE[state], reply.outcome))
+
+    async def _reply_of_one(self, request: OrderRequest, candidates: list[Upstream]) -> OrderReply:
+        """Send the order to one upstream; to another only if it certainly was not sent.
+
+        :raises UpstreamError: the failure of the last one tried.
+        """
+        order = UpstreamOrder(
+            request.request_id,
+            request.key,
+            request.shard,
+            request.kind,
+            request.body,
+            request.deadline,
+        )
+        left = list(candidates)
+        failure = UpstreamError("no upstream takes work", step="route", sent=False)
+        while left:
+            now = asyncio.get_running_loop().time()
+            upstream = self._choice.choose(left, now, request.deadline)
+            if upstream is None or now >= request.deadline:
+                break
+            left.remove(upstream)
+            try:
+                return await upstream.order(order)
+            except UpstreamError as error:
+                if error.sent:
+                    raise
+                failure = error
+        raise failure
--- a/auburncart/coordination/refusals.py
+++ b/auburncart/coordination/refusals.py
@@ -24,6 +24,10 @@
     def _ran(self) -> Ran:
         return Ran.UNKNOWN if self._request.repeat else Ran.NO
 
+    def not_ready(self, lacking: str) -> Refusal:
+        """Return the refusal of a VM that has no table or shard map yet."""
+        return self._unavailable(f"no {lacking} in force yet", Step.ROUTE)
+
     def no_row(self) -> Refusal:
         """Return the refusal of an order without a row in the table."""
         request = self._request
--- a/auburncart/coordination/tests/test_order.py
+++ b/auburncart/coordination/tests/test_order.py
@@ -3,7 +3,16 @@
 import asyncio
 import unittest
 
+from auburncart.coordination import Node, SilentObserver
+from auburncart.coordination.idempotency import (
+    MEMORY_SECONDS,
+    PERIOD_SECONDS,
+    RING_PERIODS,
+    make_key,
+    place_of,
+)
 from auburncart.standins.platform import WriteFault
+from auburncart.standins.site import DEMO_TABLE
 from auburncart.state import OrderRequest, Ran, RefusalCode
 from auburncart.tests.site import Site
 from auburncart.tests.virtual import virtual_time
@@ -20,6 +29,14 @@
     return sum(len(model.effects) for model in site.models.values())
 
 
+def make_vm(site: Site, epoch: float) -> Node:
+    """Return a further VM over the same platform whose clock began at ``epoch``."""
+    node = Node("vm2", "dc1", site.store, site.dialer, site.policies, SilentObserver(), epoch)
+    node.tables.install(DEMO_TABLE)
+    node.catalogue.install(site.shard_map)
+    return node
+
+
 class FaultTest(unittest.TestCase):
     @virtual_time
     async def test_try_with_the_request_id_of_another_is_not_taken_for_it(self) -> None:
@@ -104,6 +121,52 @@
         repeat = order_request(3)._replace(repeat=True)
         self.assertEqual((await site.orders.order(repeat)).error.ran, Ran.UNKNOWN)
 
+    @virtual_time
+    async def test_order_goes_to_another_replica_if_it_was_not_sent_to_the_first(self) -> None:
+        site = Site()
+        site.dialer.cut.add("10.0.1.0:80")
+        for number in range(6):
+            key = f"00000000-03e8-7000-8000-{number:012}"
+            answer = await site.orders.order(order_request(number, key=key))
+            self.assertTrue(answer.is_ok(), answer)
+        self.assertEqual(effects(site), 6)
+        await site.close()
+
+    @virtual_time
+    async def test_vm_without_table_or_map_says_that_it_is_not_ready(self) -> None:
+        site = Site()
+        node = Node("vm9", "dc1", site.store, site.dialer, site.policies, SilentObserver())
+        refusal = (await node.orders.order(order_request())).error
+        self.assertEqual((refusal.code, refusal.ran), (RefusalCode.UNAVAILABLE, Ran.NO))
+        node.tables.install(DEMO_TABLE)
+        refusal = (await node.orders.order(order_request())).error
+        self.assertEqual((refusal.code, refusal.ran), (RefusalCode.UNAVAILABLE, Ran.NO))
+        self.assertEqual(site.platform.calls, 0)
+
+    @virtual_time
+    async def test_key_that_is_too_old_or_from_the_future_is_refused(self) -> None:
+        site = Site()
+        later = make_vm(site, MEMORY_SECONDS + 10.0)
+        refusal = (await later.orders.order(order_request())).error
+        self.assertEqual((refusal.code, refusal.ran), (RefusalCode.EXPIRED, Ran.UNKNOWN))
+        refusal = (await site.orders.order(order_request(key=make_key(3600.0, 1)))).error
+        self.assertEqual((refusal.code, refusal.ran), (RefusalCode.BAD_REQUEST, Ran.NO))
+        self.assertEqual(effects(site), 0)
+
+    @virtual_time
+    async def test_newer_period_in_the_same_place_never_lets_an_old_key_run_again(self) -> None:
+        site = Site()
+        await site.orders.order(order_request())
+        ring = RING_PERIODS * PERIOD_SECONDS
+        places = (make_key(1.0 + ring, number) for number in range(10_000))
+        later = next(key for key in places if place_of(key).name == place_of(KEY).name)
+        other = make_vm(site, ring)
+        self.assertEqual((await other.orders.order(order_request(2, key=later))).ok.ran, Ran.YES)
+        refusal = (await site.orders.order(order_request(3))).error
+        self.assertEqual((refusal.code, refusal.ran), (RefusalCode.EXPIRED, Ran.UNKNOWN))
+        self.assertEqual(effects(site), 2)
+        await other.stop()
+
     @virtual_time
     async def test_same_key_with_another_body_is_refused(self) -> None:
         site = Site()
