--- a/auburncart/coordination/holder.py
+++ b/auburncart/coordination/holder.py
@@ -24,6 +24,7 @@
 
 LONGEST_OUTCOME = 200  # characters of its text
 MOST_UNSETTLED = 1000
+MOST_BACKOFF_SECONDS = 2.0
 
 
 def order_digest(request: OrderRequest) -> str:
@@ -122,7 +123,7 @@
         return task
 
     async def _retry(self, change: ClaimChange) -> None:
-        backoff = Backoff(self._rng)
+        backoff = Backoff(self._rng, most=MOST_BACKOFF_SECONDS)
         while True:
             try:
                 await self._claims.apply(change)
--- a/auburncart/coordination/order.py
+++ b/auburncart/coordination/order.py
@@ -92,7 +92,7 @@
         """Wait for the orders at work and for their outcomes to be stored, then end the rest.
 
         :param seconds: most seconds to wait.
-        :return: number of orders that were ended.
+        :return: number of orders whose outcome is not stored; a repeat of them reads ``unknown``.
         """
         until = asyncio.get_running_loop().time() + seconds
         if self._tasks:
--- a/auburncart/daemon/entry.py
+++ b/auburncart/daemon/entry.py
@@ -7,6 +7,7 @@
 import zlib
 
 import eliot
+from eliot import log_message
 
 from auburncart.coordination import Node
 from auburncart.coordination.gate import EveryRankGate, OneRankGate, RankGate
@@ -23,7 +24,6 @@
 __all__ = ["EXIT_CUT_OFF", "Entry", "run_entry"]
 
 EXIT_CUT_OFF = 4
-SETTLE_SECONDS = 5.0
 
 
 class Entry:
@@ -85,13 +85,14 @@
     async def shut_down(self) -> int:
         """Leave without cutting a request off, then end every connection.
 
-        :return: number of requests and orders that had to be cut off all the same.
+        :return: number of requests that had to be cut off all the same.
         """
         settings = self._settings
         times = ShutdownTimes(settings.balancer_lag_seconds, settings.shutdown_seconds)
         self._shutdown = Shutdown(self._node.drain, self._ports, times)
         cut_off = await self._shutdown.run()
-        cut_off += await self._node.orders.close(0.0 if cut_off else SETTLE_SECONDS)
+        unsettled = await self._node.orders.close(0.0 if cut_off else settings.shutdown_seconds)
+        log_message(message_type="orders_closed", unsettled=unsettled)
         await self.stop()
         return cut_off
 
