--- a/auburncart/coordination/follow.py
+++ b/auburncart/coordination/follow.py
@@ -18,7 +18,7 @@
 SLACK_SECONDS = 5.0  # a watch that has not returned this long after its time is given up
 LEAST_SECONDS = 0.1  # between two watches
 FIRST_BACKOFF_SECONDS = 0.5
-MOST_BACKOFF_SECONDS = 10.0
+MOST_BACKOFF_SECONDS = 6.5
 
 
 async def follow(
