Orders: a key of another form is refused in coordination, an order keeps its upstream open

Cause, tests failed first: a front end that did not check the key made order() raise; an order in flight was not counted as outstanding, so a change of the shard map closed its connection and made its outcome unknown. A full bucket of the longest outcomes is now tested against the store's limit; the outcome kept shrinks from 200 to 160 characters to leave room.

--- a/auburncart/coordination/holder.py
+++ b/auburncart/coordination/holder.py
@@ -20,9 +20,9 @@
     OrderRequest,
 )
 
-__all__ = ["ClaimHolder", "order_digest"]
+__all__ = ["ClaimHolder", "kept_outcome", "order_digest"]
 
-LONGEST_OUTCOME = 200  # characters of its text
+LONGEST_OUTCOME = 160  # characters of its text
 MOST_UNSETTLED = 1000
 MOST_BACKOFF_SECONDS = 2.0
 
@@ -86,7 +86,7 @@
 
     async def finish(self, claim: Claim, state: ClaimState, outcome: Any, deadline: float) -> None:
         """Store what became of a sent order; waits until the deadline, but goes on after it."""
-        done = claim._replace(state=state, outcome=_kept(outcome))
+        done = claim._replace(state=state, outcome=kept_outcome(outcome))
         await self._settled(ClaimChange(ClaimStep.FINISH, done), deadline)
 
     async def release(self, claim: Claim, deadline: float) -> None:
@@ -137,6 +137,7 @@
     return ClaimChange(ClaimStep.RELEASE, claim._replace(state=ClaimState.RELEASED))
 
 
-def _kept(outcome: Any) -> Any:
+def kept_outcome(outcome: Any) -> Any:
+    """Return an outcome as it is stored: a long one is shortened to its first characters."""
     text = repr(outcome)
     return outcome if len(text) <= LONGEST_OUTCOME else {"shortened": text[:LONGEST_OUTCOME]}
--- a/auburncart/coordination/order.py
+++ b/auburncart/coordination/order.py
@@ -9,12 +9,12 @@
 from auburncart.coordination.choice import ReplicaChoice
 from auburncart.coordination.fleet import Fleet
 from auburncart.coordination.holder import ClaimHolder
-from auburncart.coordination.idempotency import age_of
+from auburncart.coordination.idempotency import age_of, canonical_key
 from auburncart.coordination.observer import Observer
 from auburncart.coordination.refusals import OrderRefusals
 from auburncart.coordination.table import TableKeeper
 from auburncart.coordination.upstream import Upstream
-from auburncart.exception import StoreUnavailableError, UpstreamError
+from auburncart.exception import InputError, StoreUnavailableError, UpstreamError
 from auburncart.state import (
     Claim,
     ClaimState,
@@ -79,6 +79,10 @@
 
     async def order(self, request: OrderRequest) -> Result[OrderAnswer, Refusal]:
         """Carry out one order, or say truly what became of it."""
+        try:
+            request = request._replace(key=canonical_key(request.key))
+        except InputError as error:
+            return Error(OrderRefusals(request).bad_key(error))
         found = self._row(request)
         if found.is_error():
             return Error(found.error)
--- a/auburncart/coordination/refusals.py
+++ b/auburncart/coordination/refusals.py
@@ -1,6 +1,6 @@
 """The refusals of orders, each with what it may truly say of ``ran``."""
 
-from auburncart.exception import StoreUnavailableError, UpstreamError
+from auburncart.exception import InputError, StoreUnavailableError, UpstreamError
 from auburncart.state import OrderRequest, Ran, Refusal, RefusalCode, Step
 
 __all__ = ["OrderRefusals"]
@@ -24,6 +24,10 @@
     def _ran(self) -> Ran:
         return Ran.UNKNOWN if self._request.repeat else Ran.NO
 
+    def bad_key(self, error: InputError) -> Refusal:
+        """Return the refusal of a key that has another form; no claim can ever have it."""
+        return Refusal(RefusalCode.BAD_REQUEST, error.reason, Ran.NO, step=Step.PARSE)
+
     def not_ready(self, lacking: str) -> Refusal:
         """Return the refusal of a VM that has no table or shard map yet."""
         return self._unavailable(f"no {lacking} in force yet", Step.ROUTE)
--- a/auburncart/coordination/tests/test_order.py
+++ b/auburncart/coordination/tests/test_order.py
@@ -1,9 +1,12 @@
 """Orders over fake upstreams: what a repeat, a lost reply and a pause may lead to."""
 
 import asyncio
+import random
 import unittest
 
-from auburncart.coordination import Node, SilentObserver
+from auburncart.coordination import ClaimHolder, Key, Node, SilentObserver
+from auburncart.coordination.bucket import MOST_CLAIMS, apply_change
+from auburncart.coordination.holder import kept_outcome
 from auburncart.coordination.idempotency import (
     MEMORY_SECONDS,
     PERIOD_SECONDS,
@@ -11,14 +14,25 @@
     make_key,
     place_of,
 )
+from auburncart.protocol.platform import MAX_VALUE_BYTES, encode_value
 from auburncart.standins.platform import WriteFault
 from auburncart.standins.site import DEMO_TABLE
-from auburncart.state import OrderRequest, Ran, RefusalCode
+from auburncart.state import (
+    ClaimBucket,
+    ClaimChange,
+    ClaimStep,
+    OrderRequest,
+    Ran,
+    RefusalCode,
+    Verdict,
+)
 from auburncart.tests.site import Site
 from auburncart.tests.virtual import virtual_time
 
 KEY = "00000000-03e8-7000-8000-000000000001"  # one second after the epoch
 
+RNG = random.Random(1)
+
 
 def order_request(number: int = 1, *, key: str = KEY, seconds: float = 1.0) -> OrderRequest:
     deadline = asyncio.get_running_loop().time() + seconds
@@ -167,6 +181,37 @@
         self.assertEqual(effects(site), 2)
         await other.stop()
 
+    @virtual_time
+    async def test_key_of_another_form_is_refused_whatever_the_front_end(self) -> None:
+        site = Site()
+        for key in ("", "key-1", "5c0f6e2e-8f0b-4c5e-9d4e-1f6f0d9d1a11"):
+            refusal = (await site.orders.order(order_request(key=key))).error
+            self.assertEqual((refusal.code, refusal.ran), (RefusalCode.BAD_REQUEST, Ran.NO))
+        await site.orders.order(order_request(key=KEY.upper()))
+        self.assertTrue((await site.orders.order(order_request(2))).ok.repeated)
+        self.assertEqual(effects(site), 1)
+
+    @virtual_time
+    async def test_order_in_flight_keeps_an_upstream_that_the_map_names_no_more(self) -> None:
+        site = Site()
+        order = asyncio.create_task(site.orders.order(order_request()))
+        await asyncio.sleep(0.0075)
+        await site.fleet.retain(site.shard_map._replace(shards={}))
+        self.assertEqual(((await order).ok.ran, effects(site)), (Ran.YES, 1))
+
+    @virtual_time
+    async def test_full_bucket_with_the_longest_outcomes_fits_into_one_value(self) -> None:
+        site = Site()
+        holder = ClaimHolder("n" * 63 + "/0123456789ab", site.node._claims, SilentObserver(), RNG)
+        bucket, period = ClaimBucket(-1, {}), place_of(KEY).period
+        for number in range(2 * MOST_CLAIMS):
+            request = order_request(key=make_key(1.0, number))
+            claim = holder.make_claim(request)._replace(outcome=kept_outcome("\U0001f6a7" * 5000))
+            change = ClaimChange(ClaimStep.CLAIM, claim)
+            bucket, verdict = apply_change(bucket, change, period)
+        self.assertEqual(verdict.verdict, Verdict.FULL)
+        self.assertLessEqual(len(encode_value(Key("claims", "x"), bucket)), MAX_VALUE_BYTES)
+
     @virtual_time
     async def test_same_key_with_another_body_is_refused(self) -> None:
         site = Site()
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -68,6 +68,7 @@
         self._observer = observer
         self._queues: dict[Rank, deque[Job]] = {rank: deque() for rank in Rank}
         self._orders: deque[OrderJob] = deque()
+        self._open_orders = 0
         self._idle: deque[asyncio.Future[None]] = deque()
         self._tasks: set[asyncio.Task[None]] = set()
         self._cancels: set[asyncio.Task[None]] = set()
@@ -99,8 +100,9 @@
 
     @property
     def outstanding(self) -> int:
-        """Number of sub-queries in the queue or at work."""
-        return self.waiting + sum(len(jobs) for jobs in self._running.values())
+        """Number of sub-queries and orders in the queue or at work."""
+        running = sum(len(jobs) for jobs in self._running.values())
+        return self.waiting + running + self._open_orders
 
     @property
     def connections(self) -> int:
@@ -145,7 +147,11 @@
         job = OrderJob(order)
         self._orders.append(job)
         self._wake()
-        return await job.reply()
+        self._open_orders += 1
+        try:
+            return await job.reply()
+        finally:
+            self._open_orders -= 1
 
     async def close(self) -> None:
         """End all connections; jobs at work fail."""
