--- a/auburncart/coordination/catalogue.py
+++ b/auburncart/coordination/catalogue.py
@@ -17,6 +17,7 @@
 
     def __init__(self) -> None:
         self._current: ShardMap | None = None
+        self._data_centres: tuple[str, ...] = ()
         self._slots = 0
         self._arrived = asyncio.Event()
 
@@ -30,6 +31,10 @@
         """Number of slots of all replicas in force, 0 before the first shard map."""
         return self._slots
 
+    def data_centres(self) -> tuple[str, ...]:
+        """Return the names of the data centres that have upstreams, in order."""
+        return self._data_centres
+
     async def wait(self) -> None:
         """Wait until one is in force."""
         await self._arrived.wait()
@@ -42,6 +47,7 @@
         if self._current is not None and shard_map.version <= self._current.version:
             return False
         self._current = shard_map
+        self._data_centres = _data_centres_of(shard_map)
         replicas = {
             replica.address: replica.slots
             for shard in shard_map.shards.values()
@@ -57,3 +63,8 @@
         :param rng: source of the jitter between failed tries.
         """
         await follow(store, SHARD_MAP, self.install, rng)
+
+
+def _data_centres_of(shard_map: ShardMap) -> tuple[str, ...]:
+    replicas = (replica for shard in shard_map.shards.values() for replica in shard.replicas)
+    return tuple(sorted({replica.data_centre for replica in replicas}))
--- a/auburncart/coordination/holder.py
+++ b/auburncart/coordination/holder.py
@@ -64,6 +64,10 @@
         """Number of claims whose end is not stored yet."""
         return len(self._tasks)
 
+    def route(self, claims: Claims) -> None:
+        """Apply changes through ``claims`` from now on."""
+        self._claims = claims
+
     def make_claim(self, request: OrderRequest) -> Claim:
         """Return a claim of a try's own."""
         holder = f"{self._process}/{next(self._numbers)}"
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -10,9 +10,10 @@
 from auburncart.coordination.fleet import Fleet
 from auburncart.coordination.guard import GuardedStore
 from auburncart.coordination.holder import ClaimHolder
-from auburncart.coordination.interfaces import Store, UpstreamDialer
+from auburncart.coordination.interfaces import Membership, PeerBus, Store, UpstreamDialer
 from auburncart.coordination.observer import Observer
 from auburncart.coordination.order import OrderService
+from auburncart.coordination.owner import OwnedClaims
 from auburncart.coordination.policies import Policies
 from auburncart.coordination.search import SearchService
 from auburncart.coordination.shutdown import Drain
@@ -61,6 +62,7 @@
         )
         guarded = GuardedStore(store, Backoff(random.Random(f"{name}/store")))
         self._claims = StoredClaims(guarded)
+        self._holder = self._make_holder()
         self._orders = self._make_orders(epoch)
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -121,6 +123,10 @@
         self._tasks.append(asyncio.create_task(tables, name="table"))
         self._tasks.append(asyncio.create_task(shards, name="shards"))
 
+    def share_claims(self, membership: Membership, bus: PeerBus) -> None:
+        """Let one VM write each bucket of claims; call it before :meth:`start`."""
+        self._holder.route(OwnedClaims(self._claims, membership, bus, self._catalogue.data_centres))
+
     async def stop(self) -> None:
         """End the tasks, the orders at work and all connections to upstreams."""
         await self._orders.close(0.0)
@@ -133,11 +139,13 @@
     def _prepared(self) -> bool:
         return self._tables.table is not None and self._catalogue.current is not None
 
-    def _make_orders(self, epoch: float) -> OrderService:
+    def _make_holder(self) -> ClaimHolder:
         process = f"{self._name}/{uuid.uuid4().hex[:12]}"
-        rng = random.Random(self._name)
+        return ClaimHolder(process, self._claims, self._observer, random.Random(self._name))
+
+    def _make_orders(self, epoch: float) -> OrderService:
         return OrderService(
-            ClaimHolder(process, self._claims, self._observer, rng),
+            self._holder,
             self._catalogue,
             self._tables,
             self._fleet,
