A claim that an owner may have written is given back, and an owner that ends is replaced

Cause, tests failed first (test_owner.py): a question whose answer was lost, followed by a refusal of the asking VM's own guard, counted as 'not sent', so that the claim stayed 'sending' for ever; orders asked of a VM that was being stopped were refused although the store was up.

--- a/auburncart/coordination/owner.py
+++ b/auburncart/coordination/owner.py
@@ -61,11 +61,28 @@
         owner = owner_of(place.name, self._data_centres(), self._membership)
         if owner.address == self._membership.own.address:
             return await self._direct.apply(change)
+        reply = await self._asked(owner, change)
+        if reply.verdict is not None:
+            return ClaimVerdict(reply.verdict, reply.claim)
+        return await self._directly(change, reply.sent)
+
+    async def _asked(self, owner: Member, change: ClaimChange) -> ClaimReply:
         try:
             reply = await self._bus.ask(owner, ClaimQuestion(change), ASK_SECONDS)
-        except LinkError:
+        except LinkError as error:
+            return ClaimReply(None, sent=True, reason=str(error))
+        if isinstance(reply, ClaimReply):
+            return reply
+        return ClaimReply(None, sent=True, reason="not a reply to a claim")
+
+    async def _directly(self, change: ClaimChange, asked: bool) -> ClaimVerdict:
+        """Apply a change that the owner may have applied, if it was ``asked``."""
+        try:
             return await self._direct.apply(change)
-        return _verdict_of(reply, owner)
+        except StoreUnavailableError as error:
+            raise StoreUnavailableError(
+                error.reason, step=error.step, peer=error.peer, sent=error.sent or asked
+            ) from error
 
     async def _answer(self, question: ClaimQuestion, origin: Member) -> ClaimReply:
         try:
@@ -75,13 +92,5 @@
         return ClaimReply(verdict.verdict, verdict.claim)
 
 
-def _verdict_of(reply: tuple[object, ...], owner: Member) -> ClaimVerdict:
-    if not isinstance(reply, ClaimReply):
-        raise StoreUnavailableError("not a reply to a claim", step="claim", peer=owner.address)
-    if reply.verdict is None:
-        raise StoreUnavailableError(reply.reason, step="claim", peer=owner.address, sent=reply.sent)
-    return ClaimVerdict(reply.verdict, reply.claim)
-
-
 def _weight(name: str, other: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{name}/{other}".encode())
--- a/auburncart/coordination/tests/test_owner.py
+++ b/auburncart/coordination/tests/test_owner.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import unittest
+from typing import Any
 
 from auburncart.coordination import Node, SilentObserver, baseline_policies
-from auburncart.coordination.idempotency import make_key
+from auburncart.coordination.idempotency import make_key, place_of
 from auburncart.coordination.owner import owner_of
+from auburncart.exception import LinkError
 from auburncart.standins.fakes import FakeBus, FakeMembership, FakeNetwork, FakeStore
 from auburncart.standins.site import DEMO_TABLE
 from auburncart.state import Member, OrderRequest, Ran
@@ -22,29 +24,48 @@
     return {str(number): owner_of(str(number), CENTRES, membership) for number in range(900)}
 
 
+class LossyBus(FakeBus):
+    """A bus that can act on questions and lose its answers."""
+
+    loses_answers = False
+
+    async def answer(self, question: tuple[Any, ...], origin: Member) -> tuple[Any, ...]:
+        answer = await super().answer(question, origin)
+        if self.loses_answers:
+            raise LinkError("lost")
+        return answer
+
+
 class Tier:
     """Nine VMs that share the writing of claims."""
 
     def __init__(self) -> None:
         self.site = Site(policies=baseline_policies(places=8, vms=len(MEMBERS)))
         self.network = FakeNetwork()
+        self.stores: dict[str, FakeStore] = {}
+        self.buses: dict[str, LossyBus] = {}
         self.nodes = [self.make(member) for member in MEMBERS]
 
     def make(self, own: Member) -> Node:
         site = self.site
-        store = FakeStore(site.platform)
+        store = self.stores[own.address] = FakeStore(site.platform)
         node = Node(own.address, "dc1", store, site.dialer, site.policies, SilentObserver())
         node.tables.install(DEMO_TABLE)
         node.catalogue.install(site.shard_map)
-        node.share_claims(FakeMembership(own, MEMBERS), FakeBus(own, self.network))
+        bus = self.buses[own.address] = LossyBus(own, self.network)
+        node.share_claims(FakeMembership(own, MEMBERS), bus)
         return node
 
-    async def order(self, number: int) -> Ran:
+    def owner(self, key: str) -> Member:
+        return owner_of(place_of(key).name, ("dc1",), FakeMembership(MEMBERS[0], MEMBERS))
+
+    async def order(self, number: int, at: Node | None = None) -> Ran:
         deadline = asyncio.get_running_loop().time() + 5.0
         request = OrderRequest(
             f"r{number}", make_key(1.0, number), "ladera", "closure", "shard-01", "fix", deadline
         )
-        result = await self.nodes[number % len(self.nodes)].orders.order(request)
+        node = at or self.nodes[number % len(self.nodes)]
+        result = await node.orders.order(request)
         return result.error.ran if result.is_error() else result.ok.ran
 
     async def run(self) -> tuple[set[Ran], int]:
@@ -76,3 +97,29 @@
             for right in MEMBERS:
                 tier.network.cut(left.address, right.address)
         self.assertEqual(await tier.run(), ({Ran.YES}, ORDERS))
+
+    @virtual_time
+    async def test_claim_made_by_an_owner_whose_answer_was_lost_is_given_back(self) -> None:
+        tier = Tier()
+        key = make_key(1.0, 1)
+        owner = tier.owner(key)
+        asking = next(n for n in tier.nodes[1::3] if n.name != owner.address)
+        tier.stores[asking.name].cut = True
+        mine = [n for n in range(2, 99) if tier.owner(make_key(1.0, n)).address == asking.name]
+        for number in mine[:2]:  # shuts the guard of the asking VM
+            self.assertEqual(await tier.order(number, asking), Ran.NO)
+        tier.buses[owner.address].loses_answers = True
+        self.assertEqual(await tier.order(1, asking), Ran.NO)
+        tier.buses[owner.address].loses_answers = False
+        tier.stores[asking.name].cut = False
+        await asyncio.sleep(30.0)
+        self.assertEqual(await tier.order(1), Ran.YES)
+
+    @virtual_time
+    async def test_owner_that_ends_is_replaced_by_the_asking_vm(self) -> None:
+        tier = Tier()
+        tier.site.platform.set_delay(0.05)
+        orders = [asyncio.create_task(tier.order(number, tier.nodes[0])) for number in range(20)]
+        await asyncio.sleep(0.02)
+        await asyncio.gather(*(node.stop() for node in tier.nodes[1:]))
+        self.assertEqual(set(await asyncio.gather(*orders)), {Ran.YES})
