Orders: admitted like searches; two quick writes a bucket; an owner that is silent is avoided

Cause, tests failed first: a flood of orders claimed without any limit (19 claims where 2 places were free); 20 orders whose owner was cut off waited 20.2 s, 0.5 s for each question. And an order that was alone waited 0.2 s for the write of its outcome.

--- a/auburncart/bench/claims.py
+++ b/auburncart/bench/claims.py
@@ -15,9 +15,10 @@
 from auburncart.coordination import ClaimHolder, Claims, SilentObserver, StoredClaims
 from auburncart.coordination.idempotency import make_key
 from auburncart.coordination.owner import OwnedClaims
+from auburncart.exception import StoreUnavailableError
 from auburncart.standins.fakes import FakeBus, FakeMembership, FakeNetwork, FakeStore
 from auburncart.standins.platform import PlatformModel
-from auburncart.state import ClaimState, Member, OrderRequest, Verdict
+from auburncart.state import Claim, ClaimState, Member, OrderRequest, Verdict
 
 __all__ = ["measure"]
 
@@ -37,6 +38,7 @@
         self.rng = random.Random(SEED)
         self.stored: list[StoredClaims] = []
         self.waits: list[float] = []
+        self.ends: list[float] = []
         self.refused = 0
         members = tuple(
             Member(f"10.0.0.{number}:1", f"dc{number % CENTRES}", 1) for number in range(vms)
@@ -47,7 +49,7 @@
     def _holder(
         self, own: Member, members: tuple[Member, ...], network: FakeNetwork, owned: bool
     ) -> ClaimHolder:
-        direct = StoredClaims(FakeStore(self.platform))
+        direct = StoredClaims(FakeStore(self.platform), random.Random(own.address))
         self.stored.append(direct)
         claims: Claims = direct
         if owned:
@@ -65,13 +67,20 @@
         request = OrderRequest(f"r{number}", key, "c", "k", "s", "order", deadline)
         holder = self.rng.choice(self.holders)
         claim = holder.make_claim(request)
-        verdict = await holder.claim(claim, deadline)
-        self.waits.append(loop.time() - began)
-        if verdict.verdict is not Verdict.HELD:
+        if not await self.claimed(holder, claim, deadline):
             self.refused += 1
             return
+        self.waits.append(loop.time() - began)
         await asyncio.sleep(SEND_SECONDS)
         await holder.finish(claim, ClaimState.DONE, {"number": number}, deadline)
+        self.ends.append(loop.time() - began - SEND_SECONDS)
+
+    async def claimed(self, holder: ClaimHolder, claim: Claim, deadline: float) -> bool:
+        """Claim an order and return whether it may be sent."""
+        try:
+            return (await holder.claim(claim, deadline)).verdict is Verdict.HELD
+        except StoreUnavailableError:
+            return False
 
     async def run(self, rate: float, seconds: float) -> int:
         """Begin orders at a rate, and wait for all of them."""
@@ -91,7 +100,7 @@
     cpu = time.process_time()
     orders = await tier.run(rate, seconds)
     cpu = time.process_time() - cpu
-    waits = sorted(tier.waits)
+    waits, ends = sorted(tier.waits), sorted(tier.ends)
     sizes = [len(stored.body) for stored in tier.platform.objects.values()]
     return {
         "vms": vms,
@@ -104,6 +113,8 @@
         "writes_per_second": round(tier.platform.writes / seconds, 1),
         "claim_ms_p50": round(1000 * waits[len(waits) // 2], 1),
         "claim_ms_p99": round(1000 * waits[len(waits) * 99 // 100], 1),
+        "both_ms_p50": round(1000 * ends[len(ends) // 2], 1),
+        "both_ms_p99": round(1000 * ends[len(ends) * 99 // 100], 1),
         "largest_value_bytes": max(sizes),
         "objects": len(sizes),
         "cpu_ms_per_order": round(1000 * cpu / orders, 2),
--- a/auburncart/coordination/bucket.py
+++ b/auburncart/coordination/bucket.py
@@ -1,6 +1,9 @@
 """One bucket of claims: what a change makes of it, and the task that writes it."""
 
 import asyncio
+import contextlib
+import random
+from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -19,7 +22,9 @@
 __all__ = ["BucketWriter", "apply_change"]
 
 MOST_CLAIMS = 900  # a bucket of this many claims with the longest outcomes fits into one value
-MOST_WRITES = 6  # tries of one group before it is given up
+BURST = 2  # writes that may follow each other at once: an order's claim and its end
+CONFLICT_SECONDS = 0.01  # longest pause after the first conflict; it doubles with each
+MOST_WRITES = 8  # tries of one group before it is given up
 KINDS_THAT_FIND = (Verdict.FOUND, Verdict.EXPIRED, Verdict.FULL)
 
 
@@ -69,14 +74,18 @@
     """Writes one bucket by one task, which ends when there is nothing more to write.
 
     :param name: name of the stored object.
-    :param interval: least seconds between two writes.
+    :param interval: mean seconds between two writes.
+    :param rng: source of the pauses after a conflict.
     """
 
-    def __init__(self, store: Store, name: str, interval: float) -> None:
+    def __init__(self, store: Store, name: str, interval: float, rng: random.Random) -> None:
         self._store = store
+        self._rng = rng
         self._key: Key[ClaimBucket] = Key("claims", name)
         self._interval = interval
         self._pending: list[_Pending] = []
+        self._wake = asyncio.Event()
+        self._times: deque[float] = deque(maxlen=BURST)
         self._known: Stored[ClaimBucket] | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -88,6 +97,7 @@
         """Apply a change with the next write; one that nobody waits for any more is left out."""
         done: asyncio.Future[ClaimVerdict] = asyncio.get_running_loop().create_future()
         self._pending.append(_Pending(change, period, done))
+        self._wake.set()
         return await done
 
     async def close(self) -> None:
@@ -99,16 +109,31 @@
     async def _run(self, ended: Callable[[], object]) -> None:
         group: list[_Pending] = []
         try:
-            while self._pending:
+            while await self._more():
+                await self._pace()
                 group, self._pending = self._pending, []
                 await self._settle(group)
-                await asyncio.sleep(self._interval)
         finally:
             ended()
             for waiting in (*group, *self._pending):
                 if not waiting.done.done():
                     waiting.done.set_exception(_unavailable("ended"))
 
+    async def _more(self) -> bool:
+        if not self._pending:
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(BURST * self._interval):
+                    await self._wake.wait()
+        return bool(self._pending)
+
+    async def _pace(self) -> None:
+        loop = asyncio.get_running_loop()
+        if len(self._times) == BURST:
+            next_time = self._times[0] + BURST * self._interval
+            await asyncio.sleep(max(0.0, next_time - loop.time()))
+        self._times.append(loop.time())
+
     async def _settle(self, group: list[_Pending]) -> None:
         try:
             await self._commit(group)
@@ -124,12 +149,13 @@
 
     async def _commit(self, group: list[_Pending]) -> None:
         sent = False
-        for _ in range(MOST_WRITES):
+        for attempt in range(MOST_WRITES):
             try:
                 if await self._try(group):
                     return
             except StoreConflictError:
                 self._known = None
+                await asyncio.sleep(self._rng.uniform(0.0, CONFLICT_SECONDS * 2**attempt))
             except StoreUnavailableError as error:
                 self._known = None
                 if sent or not error.sent:
--- a/auburncart/coordination/claims.py
+++ b/auburncart/coordination/claims.py
@@ -1,5 +1,6 @@
 """The claims of orders, kept in buckets that are written on condition."""
 
+import random
 from abc import ABC, abstractmethod
 
 from auburncart.coordination.bucket import BucketWriter
@@ -26,11 +27,13 @@
     """Writes the buckets of the store; changes of one bucket share a write.
 
     :param store: the platform's store.
-    :param interval: least seconds between two writes of one bucket.
+    :param rng: source of the pauses after a conflict, another one on each VM.
+    :param interval: least seconds between two writes of one bucket, on average.
     """
 
-    def __init__(self, store: Store, interval: float = 0.2) -> None:
+    def __init__(self, store: Store, rng: random.Random, interval: float = 0.2) -> None:
         self._store = store
+        self._rng = rng
         self._interval = interval
         self._writers: dict[str, BucketWriter] = {}
 
@@ -44,7 +47,7 @@
         place = place_of(change.claim.key)
         writer = self._writers.get(place.name)
         if writer is None:
-            writer = BucketWriter(self._store, place.name, self._interval)
+            writer = BucketWriter(self._store, place.name, self._interval, self._rng)
             self._writers[place.name] = writer
             writer.start(lambda: self._writers.pop(place.name))
         return await writer.put(change, place.period)
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -61,7 +61,7 @@
             self._catalogue, self._tables, self._fleet, policies, observer
         )
         guarded = GuardedStore(store, Backoff(random.Random(f"{name}/store")))
-        self._claims = StoredClaims(guarded)
+        self._claims = StoredClaims(guarded, random.Random(f"{name}/claims"))
         self._holder = self._make_holder()
         self._orders = self._make_orders(epoch)
         self._tasks: list[asyncio.Task[None]] = []
@@ -149,6 +149,7 @@
             self._catalogue,
             self._tables,
             self._fleet,
+            self._policies.admission,
             self._policies.choice,
             self._observer,
             epoch,
--- a/auburncart/coordination/order.py
+++ b/auburncart/coordination/order.py
@@ -5,6 +5,7 @@
 from eliot import start_action
 from expression import Error, Ok, Result
 
+from auburncart.coordination.admission import Admission
 from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.choice import ReplicaChoice
 from auburncart.coordination.fleet import Fleet
@@ -27,6 +28,7 @@
     Row,
     UpstreamOrder,
     Verdict,
+    Work,
     find_row,
 )
 
@@ -50,6 +52,7 @@
     with the caller's patience nor with its connection.
 
     :param holder: claims of this process.
+    :param admission: lets orders in beside the searches, each as one sub-query.
     :param epoch: seconds since the epoch at loop time 0.
     """
 
@@ -59,6 +62,7 @@
         catalogue: Catalogue,
         tables: TableKeeper,
         fleet: Fleet,
+        admission: Admission,
         choice: ReplicaChoice,
         observer: Observer,
         epoch: float,
@@ -67,6 +71,7 @@
         self._catalogue = catalogue
         self._tables = tables
         self._fleet = fleet
+        self._admission = admission
         self._choice = choice
         self._observer = observer
         self._epoch = epoch
@@ -119,12 +124,26 @@
         with start_action(
             action_type="order", request_id=request.request_id, key=request.key
         ) as action:
-            result = await self._routed(request)
+            result = await self._admitted(request, row, arrival)
             ran = result.error.ran if result.is_error() else result.ok.ran
             action.add_success_fields(ran=ran.value)
         self._observer.request_ended(row.rank, ran.value, loop.time() - arrival)
         return result
 
+    async def _admitted(
+        self, request: OrderRequest, row: Row, arrival: float
+    ) -> Result[OrderAnswer, Refusal]:
+        work = Work(
+            request.request_id, request.customer, request.kind, row.rank, request.deadline, arrival
+        )
+        admitted = await self._admission.admit(work, row)
+        if admitted.is_error():
+            return Error(OrderRefusals(request).not_admitted(admitted.error))
+        try:
+            return await self._routed(request)
+        finally:
+            admitted.ok.release()
+
     async def _routed(self, request: OrderRequest) -> Result[OrderAnswer, Refusal]:
         refusals = OrderRefusals(request)
         now = asyncio.get_running_loop().time()
--- a/auburncart/coordination/owner.py
+++ b/auburncart/coordination/owner.py
@@ -1,5 +1,6 @@
 """One VM writes each bucket of claims, as long as the VMs agree on who is there."""
 
+import asyncio
 from collections.abc import Callable
 
 import xxhash
@@ -13,6 +14,7 @@
 __all__ = ["OwnedClaims", "owner_of"]
 
 ASK_SECONDS = 0.5
+AVOID_SECONDS = 5.0  # for which an owner that did not answer is not asked again
 
 
 def owner_of(name: str, data_centres: tuple[str, ...], membership: Membership) -> Member:
@@ -53,23 +55,33 @@
         self._membership = membership
         self._bus = bus
         self._data_centres = data_centres
+        self._avoided: dict[str, float] = {}
         bus.serve(ClaimQuestion, self._answer)
 
     async def apply(self, change: ClaimChange) -> ClaimVerdict:
         """Apply one change with the next write of its bucket, wherever that is made."""
         place = place_of(change.claim.key)
         owner = owner_of(place.name, self._data_centres(), self._membership)
-        if owner.address == self._membership.own.address:
+        if owner.address == self._membership.own.address or self._avoids(owner):
             return await self._direct.apply(change)
         reply = await self._asked(owner, change)
         if reply.verdict is not None:
             return ClaimVerdict(reply.verdict, reply.claim)
         return await self._directly(change, reply.sent)
 
+    def _avoids(self, owner: Member) -> bool:
+        until = self._avoided.get(owner.address, 0.0)
+        if asyncio.get_running_loop().time() < until:
+            return True
+        self._avoided.pop(owner.address, None)
+        return False
+
     async def _asked(self, owner: Member, change: ClaimChange) -> ClaimReply:
         try:
             reply = await self._bus.ask(owner, ClaimQuestion(change), ASK_SECONDS)
         except LinkError as error:
+            now = asyncio.get_running_loop().time()
+            self._avoided[owner.address] = now + AVOID_SECONDS
             return ClaimReply(None, sent=True, reason=str(error))
         if isinstance(reply, ClaimReply):
             return reply
--- a/auburncart/coordination/refusals.py
+++ b/auburncart/coordination/refusals.py
@@ -32,6 +32,10 @@
         """Return the refusal of a VM that has no table or shard map yet."""
         return self._unavailable(f"no {lacking} in force yet", Step.ROUTE)
 
+    def not_admitted(self, refusal: Refusal) -> Refusal:
+        """Return a refusal of admission as one of this order."""
+        return refusal._replace(ran=self._ran)
+
     def no_row(self) -> Refusal:
         """Return the refusal of an order without a row in the table."""
         request = self._request
--- a/auburncart/coordination/tests/test_order.py
+++ b/auburncart/coordination/tests/test_order.py
@@ -5,7 +5,7 @@
 import unittest
 from collections.abc import Callable
 
-from auburncart.coordination import ClaimHolder, Key, Node, SilentObserver
+from auburncart.coordination import ClaimHolder, Key, Node, SilentObserver, baseline_policies
 from auburncart.coordination.bucket import MOST_CLAIMS, apply_change
 from auburncart.coordination.holder import kept_outcome
 from auburncart.coordination.idempotency import (
@@ -250,6 +250,27 @@
 
         return begin
 
+    @virtual_time
+    async def test_flood_of_orders_is_admitted_like_any_work(self) -> None:
+        site = Site(policies=baseline_policies(places=2, vms=3))
+        for model in site.models.values():
+            model.set_slow(1000)
+        keys = [f"00000000-03e8-7000-8000-{number:012}" for number in range(20)]
+        orders = [
+            asyncio.create_task(site.orders.order(order_request(n, key=key, seconds=60.0)))
+            for n, key in enumerate(keys)
+        ]
+        await asyncio.sleep(0.5)
+        self.assertEqual(len(site.platform.objects), 2)
+        late = order_request(99, key=make_key(1.0, 99), seconds=0.2)
+        refusal = (await site.orders.order(late)).error
+        self.assertEqual((refusal.code, refusal.ran), (RefusalCode.OVERLOADED, Ran.NO))
+        repeat = late._replace(repeat=True, deadline=late.deadline + 0.5)
+        self.assertEqual((await site.orders.order(repeat)).error.ran, Ran.UNKNOWN)
+        for order in orders:
+            order.cancel()
+        await site.close()
+
     @virtual_time
     async def test_same_key_with_another_body_is_refused(self) -> None:
         site = Site()
