--- a/auburncart/coordination/policies.py
+++ b/auburncart/coordination/policies.py
@@ -6,18 +6,22 @@
 from auburncart.coordination.admission import Admission, FirstComeAdmission
 from auburncart.coordination.batching import Batching, OnePerRequest, UpToLimit
 from auburncart.coordination.choice import ReplicaChoice, RoundRobinChoice
-from auburncart.coordination.hedge import Hedging, NoHedging
+from auburncart.coordination.drain import Draining, NoDraining
+from auburncart.coordination.hedge import AdaptiveHedging, Hedging, NoHedging
 from auburncart.coordination.limits import ConnectionLimit, FixedLimit
 from auburncart.coordination.loaded import LeastLoadedChoice
+from auburncart.coordination.poison import StrikeQuarantine
+from auburncart.coordination.pressure import InFlightLimit, OpenInFlight
 from auburncart.coordination.quarantine import NoQuarantine, Quarantine
 from auburncart.coordination.ranked import RankedAdmission
-from auburncart.coordination.retry import Retrying, RetryThrice
+from auburncart.coordination.redial import BackoffRedialing, ImmediateRedialing, Redialing
+from auburncart.coordination.retry import BudgetedRetrying, Retrying, RetryThrice
 
 __all__ = ["Policies", "baseline_policies", "default_policies"]
 
 
 class Policies(NamedTuple):
-    """One policy for each matter that varies."""
+    """One policy for each matter that varies; ``pressure`` makes one for each upstream."""
 
     admission: Admission
     batching: Batching
@@ -26,6 +30,9 @@
     limit: ConnectionLimit
     quarantine: Quarantine
     retrying: Retrying
+    redialing: Redialing = ImmediateRedialing()
+    draining: Draining = NoDraining()
+    pressure: Callable[[], InFlightLimit] = OpenInFlight
 
 
 def baseline_policies(places: int, vms: int) -> Policies:
@@ -57,8 +64,9 @@
         admission=RankedAdmission(sharing or (lambda: vms)),
         batching=UpToLimit(),
         choice=LeastLoadedChoice(seed),
-        hedging=NoHedging(),
+        hedging=AdaptiveHedging(),
         limit=FixedLimit(vms),
-        quarantine=NoQuarantine(),
-        retrying=RetryThrice(),
+        quarantine=StrikeQuarantine(seed),
+        retrying=BudgetedRetrying(seed=seed),
+        redialing=BackoffRedialing(seed),
     )
--- a/auburncart/standins/fakes.py
+++ b/auburncart/standins/fakes.py
@@ -15,7 +15,13 @@
     UpstreamConnection,
     UpstreamDialer,
 )
-from auburncart.exception import LinkError, StoreConflictError, StoreUnavailableError, UpstreamError
+from auburncart.exception import (
+    LinkError,
+    StoreConflictError,
+    StoreUnavailableError,
+    UpstreamError,
+    UpstreamTimeoutError,
+)
 from auburncart.protocol import platform as protocol
 from auburncart.standins.platform import PlatformModel, PlatformOutageError, TagMismatchError
 from auburncart.standins.upstream import UpstreamCrashError, UpstreamModel
@@ -120,6 +126,11 @@
         """Carry out an order."""
         return await self._exchange(self._model.order(order), order.deadline)
 
+    async def cancel(self, request_id: str) -> None:
+        """Tell the model that nobody waits for a request any more."""
+        await self._travel()
+        self._model.cancel(request_id)
+
     async def close(self) -> None:
         """Let the connection go."""
         if self._open and self._start == self._model.starts:
@@ -135,7 +146,7 @@
                 reply = await call
                 await self._travel()
         except TimeoutError as error:
-            raise UpstreamError(
+            raise UpstreamTimeoutError(
                 "no reply before the deadline", step="reply", peer=address
             ) from error
         except UpstreamCrashError as error:
@@ -191,13 +202,6 @@
             ) from error
         return FakeConnection(model, distance.seconds, self.cut)
 
-    async def cancel(self, replica: Replica, request_id: str) -> None:
-        """Tell the model that nobody waits any more."""
-        await asyncio.sleep(self._distance(replica).seconds)
-        model = self._models.get(replica.address)
-        if model is not None and replica.address not in self.cut:
-            model.cancel(request_id)
-
     def _distance(self, replica: Replica) -> Distance:
         default = Distance(self._seconds, self._connect_seconds)
         return self._distances.get(replica.address, default)
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -16,6 +16,7 @@
     OrderRequest,
     Verdict,
 )
+from auburncart.state.query import QueryRun, query_digest
 from auburncart.state.search import (
     Coverage,
     Hit,
@@ -71,6 +72,7 @@
     "OrderReply",
     "OrderRequest",
     "QueryLoss",
+    "QueryRun",
     "Ran",
     "Rank",
     "Refusal",
@@ -93,4 +95,5 @@
     "Work",
     "coverage_of",
     "find_row",
+    "query_digest",
 ]
