--- a/auburncart/scenario/language.py
+++ b/auburncart/scenario/language.py
@@ -76,11 +76,12 @@
     "lose": _verb(1, 1),
     "publish": _verb(1, 1, "keep"),
     "apply": _verb(1, 1, "by weight rank version via"),
+    "count": _verb(0, 0),
     "wait": _verb(1, 1),
     "search": _verb(1, 1, "as kind customer seconds query wait"),
     "order": _verb(1, 1, "as kind customer seconds key repeat shard text wait"),
     "expect": _verb(
-        1, 2, "answered asked missing ran code snapshot repeated hits key count version within"
+        1, 2, "answered asked missing ran code snapshot repeated hits key count most version within"
     ),
 }
 
--- a/auburncart/scenario/pause.py
+++ b/auburncart/scenario/pause.py
@@ -1,7 +1,8 @@
 """A VM that can be frozen: everything that it does towards the outside waits while it is."""
 
 import asyncio
-from typing import Any, TypeVar
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from auburncart.coordination import Key, Store, Stored, UpstreamConnection, UpstreamDialer
 from auburncart.state import Batch, BatchReply, Member, OrderReply, Replica, UpstreamOrder
@@ -26,11 +27,11 @@
         """Let the VM go on."""
         self._running.set()
 
-    async def through(self, call: Any) -> Any:
+    async def through(self, call: Callable[[], Awaitable[T]]) -> T:
         """Make a call while the VM runs, and hand back its result while the VM runs."""
         await self._running.wait()
         try:
-            return await call
+            return await call()
         finally:
             await self._running.wait()
 
@@ -44,19 +45,19 @@
 
     async def read(self, key: Key[T]) -> Stored[T] | None:
         """Return the object, or None."""
-        return await self._freezer.through(self._store.read(key))
+        return await self._freezer.through(lambda: self._store.read(key))
 
     async def watch(self, key: Key[T], etag: str, wait: float) -> Stored[T] | None:
         """Wait for a change."""
-        return await self._freezer.through(self._store.watch(key, etag, wait))
+        return await self._freezer.through(lambda: self._store.watch(key, etag, wait))
 
     async def write(self, key: Key[T], value: T, etag: str) -> str:
         """Write on condition."""
-        return await self._freezer.through(self._store.write(key, value, etag))
+        return await self._freezer.through(lambda: self._store.write(key, value, etag))
 
     async def members(self) -> tuple[Member, ...]:
         """Return the platform's list of VMs."""
-        return await self._freezer.through(self._store.members())
+        return await self._freezer.through(lambda: self._store.members())
 
 
 class _FrozenConnection(UpstreamConnection):
@@ -65,13 +66,13 @@
         self._freezer = freezer
 
     async def search(self, batch: Batch) -> BatchReply:
-        return await self._freezer.through(self._connection.search(batch))
+        return await self._freezer.through(lambda: self._connection.search(batch))
 
     async def order(self, order: UpstreamOrder) -> OrderReply:
-        return await self._freezer.through(self._connection.order(order))
+        return await self._freezer.through(lambda: self._connection.order(order))
 
     async def cancel(self, request_id: str) -> None:
-        await self._freezer.through(self._connection.cancel(request_id))
+        await self._freezer.through(lambda: self._connection.cancel(request_id))
 
     async def close(self) -> None:
         await self._connection.close()
@@ -86,5 +87,5 @@
 
     async def connect(self, replica: Replica) -> UpstreamConnection:
         """Open a connection."""
-        connection = await self._freezer.through(self._dialer.connect(replica))
+        connection = await self._freezer.through(lambda: self._dialer.connect(replica))
         return _FrozenConnection(connection, self._freezer)
--- a/auburncart/scenario/runner.py
+++ b/auburncart/scenario/runner.py
@@ -70,7 +70,12 @@
             self._write(f"  {name}: {task.result()}")
 
     async def _expect(self, command: Command) -> None:
-        checks = {"effects": self._expect_effects, "table": self._expect_table}
+        checks = {
+            "effects": self._expect_effects,
+            "lost-upstreams": self._expect_lost,
+            "sub-queries": self._expect_sub_queries,
+            "table": self._expect_table,
+        }
         await checks.get(command.words[0], self._expect_request)(command)
 
     async def _expect_request(self, command: Command) -> None:
@@ -87,6 +92,12 @@
         found = await self._world.effects(command.options["key"])
         self._same(command, command.options["count"], str(found))
 
+    async def _expect_lost(self, command: Command) -> None:
+        self._at_most(command, await self._world.lost_upstreams())
+
+    async def _expect_sub_queries(self, command: Command) -> None:
+        self._at_most(command, await self._world.sub_queries(command.words[1]))
+
     async def _expect_table(self, command: Command) -> None:
         """Wait up to ``within`` seconds for a version to be in force on a VM."""
         limit = self._world.time() + float(command.options.get("within", "0"))
@@ -97,6 +108,10 @@
             found = await self._world.table_version(command.words[1])
         self._same(command, f"version={expected}", f"version={found}")
 
+    def _at_most(self, command: Command, found: int) -> None:
+        most = int(command.options["most"])
+        self._same(command, f"at most {most}", f"at most {max(found, most)}")
+
     def _write(self, line: str) -> None:
         self._session.append((self._world.time(), line))
 
--- a/auburncart/scenario/tests/real.py
+++ b/auburncart/scenario/tests/real.py
@@ -110,6 +110,13 @@
                 )
         return total
 
+    async def lost_upstreams(self) -> int:
+        names = [name for name in self._processes if name.startswith("shard-")]
+        return sum(self._processes[name].poll() is not None for name in names)
+
+    async def sub_queries(self, upstream: str) -> int:
+        raise AuburncartError("not asked of processes", step="expect", peer=upstream)
+
     async def table_version(self, vm: str) -> int:
         raise AuburncartError("not asked of processes", step="expect", peer=vm)
 
--- a/auburncart/scenario/virtual.py
+++ b/auburncart/scenario/virtual.py
@@ -17,11 +17,18 @@
     outcome_of_refusal,
     outcome_of_search,
 )
-from auburncart.standins.fakes import FakeDialer, FakeStore
+from auburncart.standins.fakes import (
+    FakeBus,
+    FakeDialer,
+    FakeMembership,
+    FakeNetwork,
+    FakeStore,
+)
 from auburncart.standins.platform import PlatformModel, WriteFault
 from auburncart.standins.site import DEMO_TABLE, demo_hits, make_shard_map, publish
 from auburncart.standins.upstream import UpstreamModel, UpstreamShape
 from auburncart.state import (
+    Member,
     OrderRequest,
     SearchRequest,
     ShardMap,
@@ -44,8 +51,14 @@
     """One VM with its own way to the store and to the upstreams."""
 
     def __init__(
-        self, name: str, data_centre: str, platform: PlatformModel, models: dict[str, UpstreamModel]
+        self,
+        name: str,
+        data_centre: str,
+        platform: PlatformModel,
+        models: dict[str, UpstreamModel],
+        network: FakeNetwork,
     ) -> None:
+        self._network = network
         self.name = name
         self.data_centre = data_centre
         self.freezer = Freezer()
@@ -54,7 +67,12 @@
         self.starts = 0
         self.node: Node | None = None
 
-    def start(self, policies: Policies) -> None:
+    @property
+    def member(self) -> Member:
+        """This VM as the others know it."""
+        return Member(self.name, self.data_centre, self.starts)
+
+    def start(self, policies: Policies, members: tuple[Member, ...]) -> None:
         """Start a new process of this VM, which knows nothing of an earlier one."""
         self.starts += 1
         self.freezer.thaw()
@@ -62,10 +80,14 @@
         dialer = FrozenDialer(self.dialer, self.freezer)
         name = f"{self.name}.{self.starts}"
         self.node = Node(name, self.data_centre, store, dialer, policies, SilentObserver())
+        bus = FakeBus(self.member, self._network)
+        self.node.share_claims(FakeMembership(self.member, members), bus)
+        policies.quarantine.join(bus)
         self.node.start()
 
     async def stop(self) -> None:
         """End the process at once."""
+        self._network.buses.pop(self.name, None)
         node, self.node = self.node, None
         if node is not None:
             await node.stop()
@@ -79,10 +101,12 @@
         self._platform = PlatformModel()
         self._models: dict[str, UpstreamModel] = {}
         self._addresses: dict[str, str] = {}
+        self._network = FakeNetwork()
         self._vms: dict[str, _Vm] = {}
         self._requests: dict[str, set[asyncio.Task]] = {}
         self._map: ShardMap | None = None
-        self._policies = "baseline"
+        self._counted: dict[str, int] = {}
+        self._policies = "default"
         self._actions: dict[str, Callable[[Command], Awaitable[None]]] = {
             "site": self._site,
             "start": self._start,
@@ -100,6 +124,7 @@
             "lose": self._lose,
             "publish": self._publish,
             "apply": self._apply,
+            "count": self._count,
         }
 
     def time(self) -> float:
@@ -150,6 +175,14 @@
         done = [effect for model in self._models.values() for effect in model.effects]
         return sum(effect.key == key_of(key, self._began) for effect in done)
 
+    async def lost_upstreams(self) -> int:
+        """Return how many upstreams are down."""
+        return sum(not model.alive for model in self._models.values())
+
+    async def sub_queries(self, upstream: str) -> int:
+        """Return how many sub-queries an upstream got since the last ``count``."""
+        return self._model(upstream).sub_queries - self._counted.get(upstream, 0)
+
     async def table_version(self, vm: str) -> int:
         """Return the version of the table in force on a VM."""
         node = self._vms[vm].node
@@ -187,7 +220,7 @@
 
     async def _site(self, command: Command) -> None:
         options = command.options
-        self._policies = options.get("policies", "baseline")
+        self._policies = options.get("policies", "default")
         centres = [f"dc{number + 1}" for number in range(int(options.get("data_centres", "1")))]
         shapes, places = [], []
         for shard in range(int(options.get("shards", "4"))):
@@ -206,17 +239,18 @@
         await publish(self._platform, self._map, DEMO_TABLE)
         for number in range(int(options.get("vms", "1"))):
             name = f"vm{number + 1}"
-            self._vms[name] = _Vm(
-                name, centres[number % len(centres)], self._platform, self._models
-            )
-            self._vms[name].start(self._make_policies())
+            centre = centres[number % len(centres)]
+            self._vms[name] = _Vm(name, centre, self._platform, self._models, self._network)
+        for vm in self._vms.values():
+            self._run(vm)
         await asyncio.sleep(0.1)
 
-    def _make_policies(self) -> Policies:
-        return POLICIES[self._policies](max(1, len(self._vms)))
+    def _run(self, vm: _Vm) -> None:
+        members = tuple(other.member for other in self._vms.values())
+        vm.start(POLICIES[self._policies](max(1, len(self._vms))), members)
 
     async def _start(self, command: Command) -> None:
-        self._vms[command.words[0]].start(self._make_policies())
+        self._run(self._vms[command.words[0]])
         await asyncio.sleep(0.1)
 
     async def _stop(self, command: Command) -> None:
@@ -236,7 +270,7 @@
         if what == "upstream":
             self._model(name).restart()
         else:
-            self._vms[name].start(self._make_policies())
+            self._run(self._vms[name])
 
     async def _freeze(self, command: Command) -> None:
         self._vms[command.words[0]].freezer.freeze()
@@ -248,10 +282,13 @@
         vm, other = command.words
         if other == "store":
             self._vms[vm].store.cut = True
+        elif other in self._vms:
+            self._network.cut(vm, other)
         else:
             self._vms[vm].dialer.cut.add(self._addresses[other])
 
     async def _heal(self, command: Command) -> None:
+        self._network.heal()
         for vm in self._vms.values():
             vm.store.cut = False
             vm.dialer.cut.clear()
@@ -272,6 +309,9 @@
     async def _lose(self, command: Command) -> None:
         self._platform.fail_next_write(WriteFault(f"lost_{command.words[0]}"))
 
+    async def _count(self, command: Command) -> None:
+        self._counted = {name: self._model(name).sub_queries for name in self._addresses}
+
     async def _publish(self, command: Command) -> None:
         """Publish a snapshot; upstreams keep the old one for ``keep=yes``."""
         assert self._map is not None
--- a/auburncart/scenario/world.py
+++ b/auburncart/scenario/world.py
@@ -99,6 +99,14 @@
     async def effects(self, key: str) -> int:
         """Return how often an order took effect at all upstreams together."""
 
+    @abstractmethod
+    async def lost_upstreams(self) -> int:
+        """Return how many upstreams are down."""
+
+    @abstractmethod
+    async def sub_queries(self, upstream: str) -> int:
+        """Return how many sub-queries an upstream got since the last ``count``."""
+
     @abstractmethod
     async def table_version(self, vm: str) -> int:
         """Return the version of the table in force on a VM, 0 for none."""
