Claims reach their owner through a relay of each data centre

Cause: with an owner for each bucket of each period every VM would in time hold a link to every other, and an owner at the target 3,199 links. The owner now follows from the bucket's number, and changes pass one relay in each data centre. The time limits grow to 1 s and 1.5 s, since at 0.5 s a group that waits 0.4 s for its write could be given up.

--- a/auburncart/coordination/idempotency.py
+++ b/auburncart/coordination/idempotency.py
@@ -52,10 +52,12 @@
 
     :param name: name of the bucket's stored object.
     :param period: number of the period in which the key was made.
+    :param bucket: number of the bucket among those of its period.
     """
 
     name: str
     period: int
+    bucket: int
 
 
 def canonical_key(text: str) -> str:
@@ -110,4 +112,4 @@
     """Return where the claim of a key is kept; the same on every VM."""
     period = int(key_seconds(key)) // PERIOD_SECONDS
     bucket = xxhash.xxh3_64_intdigest(key.encode()) % BUCKETS
-    return Place(f"{period % RING_PERIODS}-{bucket}", period)
+    return Place(f"{period % RING_PERIODS}-{bucket}", period, bucket)
--- a/auburncart/coordination/owner.py
+++ b/auburncart/coordination/owner.py
@@ -3,38 +3,43 @@
 import asyncio
 from collections.abc import Callable
 
-import xxhash
-
 from auburncart.coordination.claims import Claims
 from auburncart.coordination.idempotency import place_of
 from auburncart.coordination.interfaces import Membership, PeerBus
+from auburncart.coordination.rendezvous import top
 from auburncart.exception import LinkError, StoreUnavailableError
 from auburncart.state import ClaimChange, ClaimQuestion, ClaimReply, ClaimVerdict, Member
 
 __all__ = ["OwnedClaims", "owner_of"]
 
-ASK_SECONDS = 0.5
-AVOID_SECONDS = 5.0  # for which an owner that did not answer is not asked again
+OWNER_SECONDS = 1.0
+RELAY_SECONDS = 1.5  # a relay waits for the owner within this time
+AVOID_SECONDS = 5.0  # for which a VM that did not answer is not asked again
 
 
-def owner_of(name: str, data_centres: tuple[str, ...], membership: Membership) -> Member:
-    """Return the VM that writes a bucket, by highest random weight.
+def owner_of(bucket: int, data_centres: tuple[str, ...], membership: Membership) -> Member:
+    """Return the VM that stands first for a bucket in the first of some data centres.
 
     The data centre is chosen first, then a VM in it, so that the cost grows with the VMs of one
     data centre and a lost VM moves only the buckets that it wrote.
 
-    :param name: name of the bucket.
-    :param data_centres: names of all data centres.
+    :param bucket: number of the bucket, the same in every period.
+    :param data_centres: names of the data centres to choose from.
+    :return: this VM if there is no other.
     """
-    for data_centre in sorted(data_centres, key=lambda centre: _weight(name, centre)):
-        members = membership.live(data_centre)
+    purpose = f"claims {bucket}"
+    for data_centre in top(purpose, data_centres, len(data_centres)):
+        members = {member.address: member for member in membership.live(data_centre)}
         if members:
-            return min(members, key=lambda member: _weight(name, member.address))
+            return members[top(purpose, members, 1)[0]]
     return membership.own
 
 
 class OwnedClaims(Claims):
-    """Asks the owner of each bucket to apply changes, and applies them itself if that fails.
+    """Hands changes to the bucket's relay in this data centre, and that to the bucket's owner.
+
+    A VM so has links to the relays of its own data centre only, and an owner to one relay of each
+    data centre. Whoever gets no answer applies the change itself.
 
     Only the number of writes depends on who owns a bucket. That a claim is held once depends on
     the conditional write alone, and a change may be applied twice. So it does no harm if two VMs
@@ -60,35 +65,42 @@
 
     async def apply(self, change: ClaimChange) -> ClaimVerdict:
         """Apply one change with the next write of its bucket, wherever that is made."""
-        place = place_of(change.claim.key)
-        owner = owner_of(place.name, self._data_centres(), self._membership)
-        if owner.address == self._membership.own.address or self._avoids(owner):
+        bucket = place_of(change.claim.key).bucket
+        relay = owner_of(bucket, (self._membership.own.data_centre,), self._membership)
+        if self._is_own(relay):
+            return await self._through_owner(change)
+        return await self._through(relay, ClaimQuestion(change, False), RELAY_SECONDS)
+
+    async def _through_owner(self, change: ClaimChange) -> ClaimVerdict:
+        bucket = place_of(change.claim.key).bucket
+        owner = owner_of(bucket, self._data_centres(), self._membership)
+        if self._is_own(owner):
             return await self._direct.apply(change)
-        reply = await self._asked(owner, change)
+        return await self._through(owner, ClaimQuestion(change, True), OWNER_SECONDS)
+
+    async def _through(
+        self, member: Member, question: ClaimQuestion, seconds: float
+    ) -> ClaimVerdict:
+        if self._avoids(member):
+            return await self._direct.apply(question.change)
+        reply = await self._asked(member, question, seconds)
         if reply.verdict is not None:
             return ClaimVerdict(reply.verdict, reply.claim)
-        return await self._directly(change, reply.sent)
+        return await self._directly(question.change, reply.sent)
 
-    def _avoids(self, owner: Member) -> bool:
-        until = self._avoided.get(owner.address, 0.0)
-        if asyncio.get_running_loop().time() < until:
-            return True
-        self._avoided.pop(owner.address, None)
-        return False
-
-    async def _asked(self, owner: Member, change: ClaimChange) -> ClaimReply:
+    async def _asked(self, member: Member, question: ClaimQuestion, seconds: float) -> ClaimReply:
         try:
-            reply = await self._bus.ask(owner, ClaimQuestion(change), ASK_SECONDS)
+            reply = await self._bus.ask(member, question, seconds)
         except LinkError as error:
             now = asyncio.get_running_loop().time()
-            self._avoided[owner.address] = now + AVOID_SECONDS
+            self._avoided[member.address] = now + AVOID_SECONDS
             return ClaimReply(None, sent=True, reason=str(error))
         if isinstance(reply, ClaimReply):
             return reply
         return ClaimReply(None, sent=True, reason="not a reply to a claim")
 
     async def _directly(self, change: ClaimChange, asked: bool) -> ClaimVerdict:
-        """Apply a change that the owner may have applied, if it was ``asked``."""
+        """Apply a change that another VM may have applied, if it was ``asked``."""
         try:
             return await self._direct.apply(change)
         except StoreUnavailableError as error:
@@ -97,12 +109,19 @@
             ) from error
 
     async def _answer(self, question: ClaimQuestion, origin: Member) -> ClaimReply:
+        apply = self._direct.apply if question.relayed else self._through_owner
         try:
-            verdict = await self._direct.apply(question.change)
+            verdict = await apply(question.change)
         except StoreUnavailableError as error:
             return ClaimReply(None, sent=error.sent, reason=str(error))
         return ClaimReply(verdict.verdict, verdict.claim)
 
+    def _is_own(self, member: Member) -> bool:
+        return member.address == self._membership.own.address
 
-def _weight(name: str, other: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{name}/{other}".encode())
+    def _avoids(self, member: Member) -> bool:
+        until = self._avoided.get(member.address, 0.0)
+        if asyncio.get_running_loop().time() < until:
+            return True
+        self._avoided.pop(member.address, None)
+        return False
--- a/auburncart/state/order.py
+++ b/auburncart/state/order.py
@@ -103,9 +103,14 @@
 
 
 class ClaimQuestion(NamedTuple):
-    """A change that another VM is asked to apply with its next write."""
+    """A change that another VM is asked to apply.
+
+    :param change: the change.
+    :param relayed: whether the asked VM is to apply it itself, not to hand it on.
+    """
 
     change: ClaimChange
+    relayed: bool
 
 
 class ClaimReply(NamedTuple):
