--- a/auburncart/coordination/catalogue.py
+++ b/auburncart/coordination/catalogue.py
@@ -1,6 +1,7 @@
 """The shard map in force, from the platform's store."""
 
 import asyncio
+import contextlib
 
 from auburncart.coordination.interfaces import Key, Store
 from auburncart.exception import StoreUnavailableError
@@ -20,6 +21,7 @@
         self._current: ShardMap | None = None
         self._slots = 0
         self._arrived = asyncio.Event()
+        self._changed = asyncio.Event()
 
     @property
     def current(self) -> ShardMap | None:
@@ -35,6 +37,19 @@
         """Wait until one is in force."""
         await self._arrived.wait()
 
+    async def newer_than(self, version: int, until: float) -> ShardMap | None:
+        """Wait for a shard map that is newer than a version.
+
+        :param until: loop time in seconds at which to give up.
+        :return: the shard map, None if none arrived.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(until):
+                while self._current is None or self._current.version <= version:
+                    await self._changed.wait()
+                return self._current
+        return None
+
     def install(self, shard_map: ShardMap) -> bool:
         """Put a shard map in force if it is newer than the one in force.
 
@@ -50,6 +65,8 @@
         }
         self._slots = sum(replicas.values())
         self._arrived.set()
+        self._changed.set()
+        self._changed = asyncio.Event()
         return True
 
     async def follow(self, store: Store) -> None:
--- a/auburncart/coordination/gather.py
+++ b/auburncart/coordination/gather.py
@@ -31,13 +31,18 @@
     """Do nothing."""
 
 
+def _never() -> bool:
+    return False
+
+
 class _Ask:
     """What is known of one shard of the search."""
 
-    __slots__ = ("hedge_at", "jobs", "tried")
+    __slots__ = ("hedge_at", "jobs", "tried", "tries")
 
     def __init__(self) -> None:
         self.tried: set[str] = set()
+        self.tries = 0
         self.jobs: list[Job] = []
         self.hedge_at: float | None = None
 
@@ -50,6 +55,7 @@
     :param names: names of the shards asked.
     :param rank: rank of the search.
     :param progress: told how many shards are still open whenever some have ended.
+    :param abandons: asked, once the snapshot is known to be retired, whether to end at once.
     """
 
     def __init__(
@@ -61,9 +67,11 @@
         fleet: Fleet,
         policies: Policies,
         progress: Callable[[int], None] = _ignore_progress,
+        abandons: Callable[[], bool] = _never,
     ) -> None:
         self._request = request
         self._progress = progress
+        self._abandons = abandons
         self._map = shard_map
         self._names = names
         self._rank = rank
@@ -76,8 +84,12 @@
 
     @property
     def retired(self) -> bool:
-        """Whether an upstream said that it no longer has the pinned snapshot or shard."""
-        codes = {failure.code for failure in self._failures.values()}
+        """Whether a shard has no answer because upstreams no longer have it or its snapshot."""
+        codes = {
+            failure.code
+            for name, failure in self._failures.items()
+            if name not in self._answers and name not in self._open
+        }
         return bool(codes & {FailureCode.RETIRED, FailureCode.MOVED})
 
     async def run(self) -> SearchAnswer:
@@ -105,6 +117,8 @@
             for result in results:
                 self._settle(result)
             self._progress(len(self._open))
+            if self.retired and self._abandons():
+                return
             self._hedge_due(loop.time())
 
     def _next_time(self) -> float:
@@ -126,6 +140,7 @@
         )
         job = Job(sub, self._rank, reason, self._mailbox, upstream.address)
         ask.tried.add(upstream.address)
+        ask.tries += 1
         ask.jobs.append(job)
         ask.hedge_at = self._hedge_time(upstream)
         upstream.submit(job)
@@ -184,7 +199,7 @@
         if ask.jobs:
             return
         now = asyncio.get_running_loop().time()
-        if not self._policies.retrying.allow(len(ask.tried), failure, now, self._request.deadline):
+        if not self._policies.retrying.allow(ask.tries, failure, now, self._request.deadline):
             del self._open[name]
             return
         self._send(name, "retry")
--- /dev/null
+++ b/auburncart/coordination/pinning.py
@@ -0,0 +1,122 @@
+"""A search on one pinned snapshot, started again on a newer one when its own is retired."""
+
+import asyncio
+
+from expression import Error, Ok, Result
+
+from auburncart.coordination.admission import Ticket
+from auburncart.coordination.catalogue import Catalogue
+from auburncart.coordination.fleet import Fleet
+from auburncart.coordination.gather import Gather
+from auburncart.coordination.policies import Policies
+from auburncart.state import (
+    Rank,
+    Refusal,
+    RefusalCode,
+    SearchAnswer,
+    SearchRequest,
+    ShardMap,
+    Step,
+)
+
+__all__ = ["NOT_READY", "PinnedSearches"]
+
+TIME_WEIGHT = 0.1  # share of a new measurement in the moving average
+NOT_READY_RETRY_SECONDS = 2.0
+NOT_READY = Refusal(
+    RefusalCode.UNAVAILABLE,
+    "no shard map yet",
+    retry_after=NOT_READY_RETRY_SECONDS,
+    step=Step.ROUTE,
+)
+
+
+class PinnedSearches:
+    """Runs each search on one snapshot at a time; answers of two snapshots are never joined.
+
+    When a shard has no answer because its replicas gave up the pinned snapshot, the search is
+    started again as a whole on a newer shard map, if the deadline allows that. Otherwise the
+    answer names what is missing.
+
+    :param catalogue: the shard map in force.
+    :param fleet: the upstreams.
+    :param policies: the policies to decide by.
+    """
+
+    def __init__(self, catalogue: Catalogue, fleet: Fleet, policies: Policies) -> None:
+        self._catalogue = catalogue
+        self._fleet = fleet
+        self._policies = policies
+        self._typical_seconds = 0.0
+
+    async def run(
+        self, request: SearchRequest, rank: Rank, ticket: Ticket
+    ) -> Result[SearchAnswer, Refusal]:
+        """Run one admitted search."""
+        shard_map = self._catalogue.current
+        if shard_map is None:
+            return Error(NOT_READY)
+        unknown = [name for name in request.shards if name not in shard_map.shards]
+        if unknown:
+            reason = f"snapshot {shard_map.snapshot} has no shard {unknown[0]!r}"
+            return Error(Refusal(RefusalCode.BAD_REQUEST, reason, step=Step.ROUTE))
+        return Ok(await self._until_settled(request, rank, ticket, shard_map))
+
+    async def _until_settled(
+        self, request: SearchRequest, rank: Rank, ticket: Ticket, shard_map: ShardMap
+    ) -> SearchAnswer:
+        answer = None
+        newer: ShardMap | None = shard_map
+        while newer is not None:
+            pinned = newer
+            gather = self._gather(request, rank, ticket, pinned)
+            answer = _better(answer, await self._timed(gather))
+            newer = await self._newer(request, pinned) if gather.retired else None
+        assert answer is not None
+        return answer
+
+    def _gather(
+        self, request: SearchRequest, rank: Rank, ticket: Ticket, pinned: ShardMap
+    ) -> Gather:
+        names = tuple(dict.fromkeys(request.shards)) or tuple(sorted(pinned.shards))
+        ticket.progress(len(names))
+        return Gather(
+            request,
+            pinned,
+            names,
+            rank,
+            self._fleet,
+            self._policies,
+            progress=ticket.progress,
+            abandons=lambda: self._restarts(request, pinned, self._catalogue.current),
+        )
+
+    async def _timed(self, gather: Gather) -> SearchAnswer:
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        answer = await gather.run()
+        if answer.coverage.complete:
+            weight = TIME_WEIGHT if self._typical_seconds else 1.0
+            self._typical_seconds += weight * (loop.time() - start - self._typical_seconds)
+        return answer
+
+    async def _newer(self, request: SearchRequest, pinned: ShardMap) -> ShardMap | None:
+        until = request.deadline - self._typical_seconds
+        newer = await self._catalogue.newer_than(pinned.version, until)
+        return newer if self._restarts(request, pinned, newer) else None
+
+    def _restarts(self, request: SearchRequest, pinned: ShardMap, newer: ShardMap | None) -> bool:
+        """Return whether a search can be started again on a shard map in time."""
+        if newer is None or newer.version <= pinned.version:
+            return False
+        now = asyncio.get_running_loop().time()
+        in_time = now + self._typical_seconds < request.deadline
+        return in_time and all(name in newer.shards for name in request.shards)
+
+
+def _better(first: SearchAnswer | None, second: SearchAnswer) -> SearchAnswer:
+    """Return the answer with the larger part answered; of equals the second."""
+    if first is None:
+        return second
+    parts = [one.coverage.answered / max(1, one.coverage.asked) for one in (first, second)]
+    return first if parts[0] > parts[1] else second
--- a/auburncart/coordination/ranked.py
+++ b/auburncart/coordination/ranked.py
@@ -36,8 +36,11 @@
         self._measured = False
 
     def progress(self, remaining: int) -> None:
-        """Give up the part of the place that belongs to sub-queries that have ended."""
-        ended = self._remaining - min(self._remaining, remaining)
+        """Give up the part of the place that belongs to sub-queries that have ended.
+
+        A search that starts again takes its place anew, with a larger number.
+        """
+        ended = self._remaining - remaining
         if not ended:
             return
         self._remaining -= ended
--- a/auburncart/coordination/search.py
+++ b/auburncart/coordination/search.py
@@ -5,11 +5,10 @@
 from eliot import start_action
 from expression import Error, Ok, Result
 
-from auburncart.coordination.admission import Ticket
 from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.fleet import Fleet
-from auburncart.coordination.gather import Gather
 from auburncart.coordination.observer import Observer
+from auburncart.coordination.pinning import NOT_READY, PinnedSearches
 from auburncart.coordination.policies import Policies
 from auburncart.coordination.table import TableKeeper
 from auburncart.state import (
@@ -18,16 +17,12 @@
     Row,
     SearchAnswer,
     SearchRequest,
-    ShardMap,
-    Step,
     Work,
     find_row,
 )
 
 __all__ = ["SearchService"]
 
-NOT_READY_RETRY_SECONDS = 2.0
-
 
 class SearchService:
     """Answers searches: admission, pinning, fan-out.
@@ -49,8 +44,8 @@
     ) -> None:
         self._catalogue = catalogue
         self._tables = tables
-        self._fleet = fleet
         self._policies = policies
+        self._pinned = PinnedSearches(catalogue, fleet, policies)
         self._observer = observer
 
     async def search(self, request: SearchRequest) -> Result[SearchAnswer, Refusal]:
@@ -72,7 +67,7 @@
     def _row(self, request: SearchRequest) -> Result[Row, Refusal]:
         table = self._tables.table
         if table is None:
-            return Error(_not_ready("no table in force yet"))
+            return Error(NOT_READY._replace(reason="no table in force yet"))
         row = find_row(table, request.customer, request.kind)
         if row is None:
             reason = f"no row for customer {request.customer!r} and kind {request.kind!r}"
@@ -82,7 +77,7 @@
     async def _admitted(
         self, request: SearchRequest, row: Row, arrival: float
     ) -> Result[SearchAnswer, Refusal]:
-        cost = len(request.shards) or self._shard_count()
+        cost = len(set(request.shards)) or self._shard_count()
         work = Work(
             request.request_id,
             request.customer,
@@ -96,47 +91,15 @@
         if admitted.is_error():
             return Error(admitted.error)
         try:
-            return await self._pinned(request, row, admitted.ok)
+            return await self._pinned.run(request, row.rank, admitted.ok)
         finally:
             admitted.ok.release()
 
-    async def _pinned(
-        self, request: SearchRequest, row: Row, ticket: Ticket
-    ) -> Result[SearchAnswer, Refusal]:
-        shard_map = self._catalogue.current
-        if shard_map is None:
-            return Error(_not_ready("no shard map yet"))
-        names = request.shards or tuple(sorted(shard_map.shards))
-        unknown = [name for name in names if name not in shard_map.shards]
-        if unknown:
-            reason = f"snapshot {shard_map.snapshot} has no shard {unknown[0]!r}"
-            return Error(Refusal(RefusalCode.BAD_REQUEST, reason, step=Step.ROUTE))
-        return Ok(await self._gather(request, shard_map, names, row, ticket))
-
-    async def _gather(
-        self,
-        request: SearchRequest,
-        shard_map: ShardMap,
-        names: tuple[str, ...],
-        row: Row,
-        ticket: Ticket,
-    ) -> SearchAnswer:
-        gather = Gather(
-            request, shard_map, names, row.rank, self._fleet, self._policies, ticket.progress
-        )
-        return await gather.run()
-
     def _shard_count(self) -> int:
         shard_map = self._catalogue.current
-        return len(shard_map.shards) if shard_map else 1
+        return max(1, len(shard_map.shards)) if shard_map else 1
 
     def _outcome(self, result: Result[SearchAnswer, Refusal]) -> str:
         if result.is_error():
             return "refused"
         return "complete" if result.ok.coverage.complete else "partial"
-
-
-def _not_ready(reason: str) -> Refusal:
-    return Refusal(
-        RefusalCode.UNAVAILABLE, reason, retry_after=NOT_READY_RETRY_SECONDS, step=Step.ROUTE
-    )
