--- a/auburncart/coordination/batching.py
+++ b/auburncart/coordination/batching.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 
-from auburncart.state import Replica
+from auburncart.state import Rank, Replica
 
 __all__ = ["Batching", "OnePerRequest", "UpToLimit"]
 
@@ -11,14 +11,14 @@
     """Sizes the batch that a free connection takes from its upstream's queue."""
 
     @abstractmethod
-    def size(self, replica: Replica, waiting: int) -> int:
-        """Return how many of the ``waiting`` sub-queries to send now; at least 1."""
+    def size(self, replica: Replica, waiting: int, rank: Rank = Rank.URGENT) -> int:
+        """Return how many of the ``waiting`` sub-queries of a rank to send now; at least 1."""
 
 
 class OnePerRequest(Batching):
     """Sends each sub-query on its own; the baseline."""
 
-    def size(self, replica: Replica, waiting: int) -> int:
+    def size(self, replica: Replica, waiting: int, rank: Rank = Rank.URGENT) -> int:
         """Return 1."""
         return 1
 
@@ -26,7 +26,7 @@
 class UpToLimit(Batching):
     """Sends all that wait, up to what the upstream takes in one request."""
 
-    def size(self, replica: Replica, waiting: int) -> int:
+    def size(self, replica: Replica, waiting: int, rank: Rank = Rank.URGENT) -> int:
         """Return the smaller of what waits and what the upstream takes.
 
         >>> UpToLimit().size(Replica("127.0.0.1:1", "dc1", batch_limit=8), 20)
--- a/auburncart/coordination/policies.py
+++ b/auburncart/coordination/policies.py
@@ -4,13 +4,14 @@
 from typing import NamedTuple
 
 from auburncart.coordination.admission import Admission, FirstComeAdmission
-from auburncart.coordination.batching import Batching, OnePerRequest, UpToLimit
+from auburncart.coordination.batching import Batching, OnePerRequest
 from auburncart.coordination.choice import ReplicaChoice, RoundRobinChoice
 from auburncart.coordination.hedge import Hedging, NoHedging
 from auburncart.coordination.limits import ConnectionLimit, FixedLimit
 from auburncart.coordination.loaded import LeastLoadedChoice
 from auburncart.coordination.quarantine import NoQuarantine, Quarantine
 from auburncart.coordination.ranked import RankedAdmission
+from auburncart.coordination.ranked_batching import RankedBatching
 from auburncart.coordination.retry import Retrying, RetryThrice
 
 __all__ = ["Policies", "baseline_policies", "default_policies"]
@@ -55,7 +56,7 @@
     """
     return Policies(
         admission=RankedAdmission(sharing or (lambda: vms)),
-        batching=UpToLimit(),
+        batching=RankedBatching(),
         choice=LeastLoadedChoice(seed),
         hedging=NoHedging(),
         limit=FixedLimit(vms),
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -211,7 +211,7 @@
     def _companions(self, first: Job, queue: deque[Job], now: float) -> list[Job]:
         if self._quarantine.isolates(first.sub.kind, first.sub.query, now):
             return []
-        room = self._batching.size(self._replica, self.waiting + 1) - 1
+        room = self._batching.size(self._replica, len(queue) + 1, first.rank) - 1
         jobs: list[Job] = []
         while queue and len(jobs) < room and queue[0].sub.snapshot == first.sub.snapshot:
             job = queue.popleft()
