--- a/auburncart/command/request.py
+++ b/auburncart/command/request.py
@@ -1,11 +1,13 @@
 """``auburncart search`` and ``auburncart order``: send one request and print the answer."""
 
+import secrets
 import sys
-import uuid
+import time
 
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from auburncart.coordination.idempotency import make_key
 from auburncart.exception import AuburncartError
 
 __all__ = ["new_key", "order", "post", "search"]
@@ -53,6 +55,7 @@
     kind: str,
     shard: str,
     key: str = "",
+    repeat: bool = False,
     deadline_ms: int = 5000,
 ) -> int:
     """Send an order, which takes effect at most once, and print what became of it as JSON.
@@ -62,8 +65,9 @@
     :param customer: customer on whose account it runs.
     :param kind: kind of work.
     :param shard: shard that carries it out.
-    :param key: idempotency key; a new one is made and printed where none is given. Repeat the
-        same order only with the same key.
+    :param key: idempotency key, a UUID of version 7; a new one is made and printed where none is
+        given. Repeat the same order only with the same key.
+    :param repeat: say that an order with this key was sent before.
     :param deadline_ms: milliseconds to wait for the outcome.
     """
     body: dict[str, object] = {
@@ -71,6 +75,7 @@
         "kind": kind,
         "shard": shard,
         "key": key or new_key(),
+        "repeat": repeat,
         "order": text,
         "deadline_ms": deadline_ms,
     }
@@ -81,7 +86,7 @@
 
 def new_key() -> str:
     """Return a new idempotency key."""
-    return uuid.uuid4().hex
+    return make_key(time.time(), secrets.randbits(80))
 
 
 def post(address: str, path: str, body: dict[str, object], seconds: float) -> tuple[int, str]:
--- a/auburncart/coordination/catalogue.py
+++ b/auburncart/coordination/catalogue.py
@@ -2,16 +2,15 @@
 
 import asyncio
 import contextlib
+import random
 
+from auburncart.coordination.follow import follow
 from auburncart.coordination.interfaces import Key, Store
-from auburncart.exception import StoreUnavailableError
-from auburncart.state import ShardMap
+from auburncart.state import Replica, ShardMap
 
 __all__ = ["SHARD_MAP", "Catalogue"]
 
 SHARD_MAP: Key[ShardMap] = Key("shards", "current")
-WATCH_SECONDS = 20.0
-RETRY_SECONDS = 1.0
 
 
 class Catalogue:
@@ -19,7 +18,7 @@
 
     def __init__(self) -> None:
         self._current: ShardMap | None = None
-        self._slots = 0
+        self._room = 0.0
         self._arrived = asyncio.Event()
         self._changed = asyncio.Event()
 
@@ -29,9 +28,9 @@
         return self._current
 
     @property
-    def slots(self) -> int:
-        """Number of slots of all replicas in force, 0 before the first shard map."""
-        return self._slots
+    def room(self) -> float:
+        """Number of sub-queries that fill all slots in force, 0 before the first shard map."""
+        return self._room
 
     async def wait(self) -> None:
         """Wait until one is in force."""
@@ -58,26 +57,33 @@
         if self._current is not None and shard_map.version <= self._current.version:
             return False
         self._current = shard_map
-        replicas = {
-            replica.address: replica.slots
-            for shard in shard_map.shards.values()
-            for replica in shard.replicas
-        }
-        self._slots = sum(replicas.values())
+        self._room = _room(shard_map)
         self._arrived.set()
         self._changed.set()
         self._changed = asyncio.Event()
         return True
 
-    async def follow(self, store: Store) -> None:
-        """Watch the store and put each new shard map in force; runs until cancelled."""
-        etag = ""
-        while True:
-            try:
-                stored = await store.watch(SHARD_MAP, etag, WATCH_SECONDS)
-            except StoreUnavailableError:
-                await asyncio.sleep(RETRY_SECONDS)
-                continue
-            if stored is not None:
-                etag = stored.etag
-                self.install(stored.value)
+    async def follow(self, store: Store, rng: random.Random) -> None:
+        """Watch the store and put each new shard map in force; runs until cancelled.
+
+        :param rng: source of the jitter between failed tries.
+        """
+        await follow(store, SHARD_MAP, self.install, rng)
+
+
+def _room(shard_map: ShardMap) -> float:
+    """Return the sub-queries of whole searches that the slots of all replicas hold.
+
+    A slot holds a request, and in it a replica's part of the shards of one search.
+    """
+    replicas: dict[str, Replica] = {}
+    parts: dict[str, float] = {}
+    for shard in shard_map.shards.values():
+        for replica in shard.replicas:
+            replicas[replica.address] = replica
+            part = parts.get(replica.address, 0.0) + 1.0 / len(shard.replicas)
+            parts[replica.address] = part
+    return sum(
+        replica.slots * max(1.0, min(replica.batch_limit, parts[address]))
+        for address, replica in replicas.items()
+    )
--- a/auburncart/coordination/loaded.py
+++ b/auburncart/coordination/loaded.py
@@ -15,6 +15,7 @@
 FORGET_SECONDS = 5.0  # time constant by which an old latency loses its meaning
 RAMP_SECONDS = 10.0  # time after a cold start until an upstream gets its full part
 COLD_FACTOR = 8.0  # by which work counts more on a cold upstream
+JOIN_FACTOR = 0.9  # by which a sub-query that joins a waiting request counts less
 TYPICAL_SECONDS = 0.01  # latency taken for an upstream that was never measured among such
 
 CONDITION_FACTORS = {
@@ -84,7 +85,9 @@
 class LeastLoadedChoice(LeastOutstandingChoice):
     """Takes the local candidate on which one more sub-query is expected to end first.
 
-    The load is work outstanding times recent latency. A latency that was not measured again
+    The load is the number of requests outstanding times recent latency; sub-queries that wait
+    travel in one request as far as the upstream takes them so, and one more joins them for
+    little. A latency that was not measured again
     loses its meaning with time, so that an upstream that was slow once gets tried again. An
     upstream that reports a cold start counts as slower, less and less so while it warms up.
     """
@@ -99,7 +102,9 @@
         age = math.exp((seen.measured_at - now) / FORGET_SECONDS)
         latency = age * seen.latency + (1.0 - age) * typical if seen.latency else typical
         factor = CONDITION_FACTORS[upstream.condition] * self._ramp(seen, now)
-        return (upstream.outstanding + 1) * latency * factor
+        batches = math.ceil((upstream.waiting + 1) / upstream.replica.batch_limit)
+        joined = JOIN_FACTOR if upstream.waiting % upstream.replica.batch_limit else 1.0
+        return (upstream.at_work + batches) * latency * factor * joined
 
     def _look(self, upstream: Upstream, now: float) -> _Seen:
         seen = self._seen.get(upstream.address) or _Seen(0.0, now, -math.inf)
--- a/auburncart/coordination/ranked.py
+++ b/auburncart/coordination/ranked.py
@@ -71,7 +71,7 @@
         self._vms = vms
         self._tables: TableKeeper | None = None
         self._catalogue: Catalogue | None = None
-        self._capacity = capacity or AdaptiveCapacity(self._slots_share)
+        self._capacity = capacity or AdaptiveCapacity(self._share)
         self._lanes = {rank: Lane(self._capacity, prompt=rank is Rank.URGENT) for rank in Rank}
         self._queued: dict[RowKey, int] = {}
         self._at_work: dict[RowKey, int] = {}
@@ -112,9 +112,9 @@
             return Error(self._overloaded("the customer's queue does not empty", self._needed()))
         return Ok(RankedTicket(self, waiter, in_use))
 
-    def _slots_share(self) -> float:
-        slots = self._catalogue.slots if self._catalogue else 0
-        return slots / max(1, self._vms())
+    def _share(self) -> float:
+        room = self._catalogue.room if self._catalogue else 0.0
+        return room / max(1, self._vms())
 
     def _early_refusal(self, work: Work, row: Row) -> Refusal | None:
         now = asyncio.get_running_loop().time()
--- a/auburncart/protocol/tests/test_fuzz.py
+++ b/auburncart/protocol/tests/test_fuzz.py
@@ -13,12 +13,12 @@
 from auburncart.protocol import caller, platform, upstream
 from auburncart.protocol.document import parse_document
 from auburncart.settings import EntrySettings
-from auburncart.state import Batch, Claim, SubQuery, UpstreamOrder
+from auburncart.state import Batch, ClaimBucket, SubQuery, UpstreamOrder
 
 SUB = SubQuery("r1.1", "a", "s1", "k", "q", 1.0)
 BATCH = Batch("v-1", "s1", 1.0, (SUB,))
 ORDER = UpstreamOrder("r1", "key", "a", "k", "o", 1.0)
-CLAIM: Key[Claim] = Key("claims", "x")
+CLAIM: Key[ClaimBucket] = Key("claims", "x")
 
 Decoder = Callable[[bytes], Any]
 DECODERS: dict[str, tuple[Decoder, type[Exception]]] = {
--- a/auburncart/scenario/language.py
+++ b/auburncart/scenario/language.py
@@ -78,7 +78,7 @@
     "apply": _verb(1, 1, "by weight rank version via"),
     "wait": _verb(1, 1),
     "search": _verb(1, 1, "as kind customer seconds query wait"),
-    "order": _verb(1, 1, "as kind customer seconds key shard text wait"),
+    "order": _verb(1, 1, "as kind customer seconds key repeat shard text wait"),
     "expect": _verb(
         1, 2, "answered asked missing ran code snapshot repeated hits key count version within"
     ),
--- a/auburncart/scenario/tests/real.py
+++ b/auburncart/scenario/tests/real.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -18,7 +19,7 @@
 from auburncart.exception import AuburncartError
 from auburncart.scenario.language import Command, parse
 from auburncart.scenario.runner import Runner
-from auburncart.scenario.world import Outcome, World
+from auburncart.scenario.world import Outcome, World, key_of
 
 START_SECONDS = 30.0
 STOP_SECONDS = 15.0
@@ -28,10 +29,15 @@
 
 
 class RealWorld(World):
-    """Starts processes and ends them by id."""
+    """Starts processes and ends them by id.
 
-    def __init__(self) -> None:
+    :param lag: seconds for which a VM that is told to end still serves.
+    """
+
+    def __init__(self, lag: float = 0.2) -> None:
+        self._lag = lag
         self._began = asyncio.get_running_loop().time()
+        self._epoch = time.time()
         self._folder = tempfile.TemporaryDirectory()
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._arguments: dict[str, list[str]] = {}
@@ -83,7 +89,8 @@
             "customer": options.get("customer", "ladera"),
             "kind": options.get("kind", "closure"),
             "shard": options.get("shard", "shard-00"),
-            "key": options["key"],
+            "key": key_of(options["key"], self._epoch),
+            "repeat": options.get("repeat") == "yes",
             "order": options.get("text", "mend the net"),
             "deadline_ms": int(float(options.get("seconds", "5")) * 1000),
         }
@@ -98,7 +105,9 @@
         total = 0
         for name in self._processes:
             if name.startswith("shard-") and self._processes[name].poll() is None:
-                total += (await self._control(name, "effects"))["effects"].count(key)
+                total += (await self._control(name, "effects"))["effects"].count(
+                    key_of(key, self._epoch)
+                )
         return total
 
     async def table_version(self, vm: str) -> int:
@@ -158,6 +167,7 @@
             "general_address": self._addresses[name],
             "urgent_address": _free_address(),
             "platform_address": self._addresses["platform"],
+            "balancer_lag_seconds": self._lag,
             "log_file": "",
         }
         settings.write_text(json.dumps(fields))
