--- a/auburncart/coordination/gather.py
+++ b/auburncart/coordination/gather.py
@@ -150,9 +150,9 @@
         now = asyncio.get_running_loop().time()
         candidates = self._fleet.candidates(self._map.shards[name])
         fresh = [upstream for upstream in candidates if upstream.address not in ask.tried]
-        chosen = self._policies.choice.choose(fresh, now)
+        chosen = self._policies.choice.choose(fresh, now, self._request.deadline)
         if chosen is None and not ask.jobs:
-            chosen = self._policies.choice.choose(candidates, now)
+            chosen = self._policies.choice.choose(candidates, now, self._request.deadline)
         if chosen is None and not ask.jobs:
             self._failures.setdefault(name, Failure(Step.ROUTE, "", "no upstream to ask"))
             del self._open[name]
--- a/auburncart/coordination/loaded.py
+++ b/auburncart/coordination/loaded.py
@@ -26,6 +26,9 @@
 }
 
 
+Class = tuple[bool, bool, bool]  # not expected to answer, remote, failed lately; False is better
+
+
 class _Seen(NamedTuple):
     """What was last seen of an upstream, in loop time and seconds."""
 
@@ -34,6 +37,9 @@
     warm_at: float
 
 
+NOT_SEEN = _Seen(0.0, 0.0, -math.inf)
+
+
 class LeastOutstandingChoice(ReplicaChoice):
     """Takes the local candidate with the least work outstanding.
 
@@ -49,29 +55,35 @@
         self, candidates: Sequence[Upstream], now: float, deadline: float = math.inf
     ) -> Upstream | None:
         """Return the candidate with the lowest load of the best class that has one."""
-        in_time = [one for one in candidates if one.local or now + one.latency < deadline]
-        if not in_time:
+        classes: dict[Class, list[Upstream]] = {}
+        for one in candidates:
+            if one.local or now + one.latency < deadline:
+                classes.setdefault(_class(one), []).append(one)
+        if not classes:
             return None
-        best = min(self._class(one) for one in in_time)
-        return self._of_class([one for one in in_time if self._class(one) == best], now)
+        best = classes[min(classes)]
+        return best[0] if len(best) == 1 else self._of_class(best, now)
 
     def load(self, upstream: Upstream, typical: float, now: float) -> float:
         """Return a number that is lower for an upstream that should rather get work.
 
-        :param typical: latency in seconds of a typical candidate.
+        :param typical: latency in seconds of the fastest candidate, for those of unknown latency.
         """
         return upstream.outstanding
 
     def _of_class(self, candidates: list[Upstream], now: float) -> Upstream:
         measured = [one.latency for one in candidates if one.latency > 0]
-        typical = sum(measured) / len(measured) if measured else TYPICAL_SECONDS
-        loads = [(self.load(one, typical, now), self._random.random(), one) for one in candidates]
-        return min(loads, key=lambda entry: entry[:2])[2]
+        typical = min(measured) if measured else TYPICAL_SECONDS
+        loads = [self.load(one, typical, now) for one in candidates]
+        least = min(loads)
+        equals = [one for one, load in zip(candidates, loads, strict=True) if load == least]
+        return equals[0] if len(equals) == 1 else self._random.choice(equals)
+
 
-    def _class(self, upstream: Upstream) -> tuple[bool, bool, bool]:
-        leaving = upstream.condition is UpstreamCondition.DRAINING
-        unanswering = upstream.failures >= UNANSWERING_FAILURES
-        return leaving or unanswering, not upstream.local, upstream.failures > 0
+def _class(upstream: Upstream) -> Class:
+    leaving = upstream.condition is UpstreamCondition.DRAINING
+    failures = upstream.failures
+    return leaving or failures >= UNANSWERING_FAILURES, not upstream.local, failures > 0
 
 
 class TwoRandomChoice(LeastOutstandingChoice):
@@ -99,22 +111,24 @@
     def load(self, upstream: Upstream, typical: float, now: float) -> float:
         """Return the expected time of one more sub-query in seconds."""
         seen = self._look(upstream, now)
-        age = math.exp((seen.measured_at - now) / FORGET_SECONDS)
-        latency = age * seen.latency + (1.0 - age) * typical if seen.latency else typical
-        factor = CONDITION_FACTORS[upstream.condition] * self._ramp(seen, now)
+        latency = typical
+        if seen.latency:
+            age = math.exp((seen.measured_at - now) / FORGET_SECONDS)
+            latency += age * (seen.latency - typical)
+        factor = CONDITION_FACTORS[upstream.condition] * _ramp(seen, now)
         batches = math.ceil((upstream.waiting + 1) / upstream.replica.batch_limit)
         joined = JOIN_FACTOR if upstream.waiting % upstream.replica.batch_limit else 1.0
         return (upstream.at_work + batches) * latency * factor * joined
 
     def _look(self, upstream: Upstream, now: float) -> _Seen:
-        seen = self._seen.get(upstream.address) or _Seen(0.0, now, -math.inf)
-        if upstream.latency != seen.latency:
-            seen = seen._replace(latency=upstream.latency, measured_at=now)
-        if upstream.condition is UpstreamCondition.COLD:
-            seen = seen._replace(warm_at=now)
-        self._seen[upstream.address] = seen
+        seen = self._seen.get(upstream.address, NOT_SEEN)
+        cold = upstream.condition is UpstreamCondition.COLD
+        if cold or upstream.latency != seen.latency:
+            seen = _Seen(upstream.latency, now, now if cold else seen.warm_at)
+            self._seen[upstream.address] = seen
         return seen
 
-    def _ramp(self, seen: _Seen, now: float) -> float:
-        left = max(0.0, 1.0 - (now - seen.warm_at) / RAMP_SECONDS)
-        return 1.0 + left * (COLD_FACTOR - 1.0)
+
+def _ramp(seen: _Seen, now: float) -> float:
+    left = max(0.0, 1.0 - (now - seen.warm_at) / RAMP_SECONDS)
+    return 1.0 + left * (COLD_FACTOR - 1.0)
--- /dev/null
+++ b/auburncart/coordination/tests/test_batching.py
@@ -0,0 +1,66 @@
+"""Sub-queries that wait for the same upstream travel together."""
+
+import asyncio
+import unittest
+
+from auburncart.coordination import default_policies
+from auburncart.coordination.ranked_batching import RankedBatching
+from auburncart.state import Rank, Replica, Shard, ShardMap
+from auburncart.tests.site import Site, search_request
+from auburncart.tests.virtual import virtual_time
+
+SHARDS = 16
+
+
+def on_few_upstreams(site: Site, batch_limit: int) -> ShardMap:
+    """Return a map by which four upstreams hold all shards, each shard on two of them."""
+    models = list(site.models.values())[:4]
+    replicas = [Replica(one.shape.address, "dc1", batch_limit=batch_limit) for one in models]
+    hits = {name: model.shards[name] for model in site.models.values() for name in model.shards}
+    for model in models:
+        model.shards = hits
+    shards = {
+        name: Shard(name, (replicas[number % 4], replicas[(number + 1) % 4]))
+        for number, name in enumerate(sorted(hits))
+    }
+    return ShardMap("s1", 2, shards)
+
+
+class BatchTest(unittest.TestCase):
+    async def requests(self, batch_limit: int) -> int:
+        site = Site(shards=SHARDS, policies=default_policies(vms=3))
+        site.catalogue.install(on_few_upstreams(site, batch_limit))
+        answer = (await site.searches.search(search_request())).ok
+        await site.close()
+        self.assertTrue(answer.coverage.complete)
+        self.assertEqual(len(answer.hits), SHARDS)
+        return sum(model.requests for model in site.models.values())
+
+    @virtual_time
+    async def test_a_fifth_of_the_requests_or_less_where_upstreams_take_batches(self) -> None:
+        self.assertLessEqual(await self.requests(batch_limit=16), SHARDS / 5)
+
+    @virtual_time
+    async def test_one_request_for_each_where_they_take_none(self) -> None:
+        self.assertEqual(await self.requests(batch_limit=1), SHARDS)
+
+    @virtual_time
+    async def test_urgent_search_waits_for_half_a_background_batch_at_most(self) -> None:
+        replica = Replica("10.0.0.0:80", "dc1", batch_limit=16)
+        batching = RankedBatching()
+        self.assertEqual(batching.size(replica, 100, Rank.URGENT), 16)
+        self.assertEqual(batching.size(replica, 100, Rank.BACKGROUND), 8)
+        site = Site(shards=1, replicas=1, policies=default_policies(vms=25), batch_limit=16)
+        archive = [
+            asyncio.create_task(
+                site.searches.search(search_request(number, kind="archive", seconds=5.0))
+            )
+            for number in range(16)
+        ]
+        await asyncio.sleep(0.007)
+        start = asyncio.get_running_loop().time()
+        await site.searches.search(search_request(99))
+        waited = asyncio.get_running_loop().time() - start
+        await asyncio.gather(*archive)
+        await site.close()
+        self.assertLess(waited, 0.05)
--- a/auburncart/tests/site.py
+++ b/auburncart/tests/site.py
@@ -29,17 +29,20 @@
         replicas: int = 2,
         policies: Policies | None = None,
         batch_limit: int = 1,
+        data_centres: tuple[str, ...] = ("dc1",),
     ) -> None:
         self.policies = policies or baseline_policies(places=8, vms=3)
         self.models: dict[str, UpstreamModel] = {}
         shapes = []
+        places = []
         for shard in range(shards):
             for copy in range(replicas):
                 name = f"shard-{shard:02}"
                 shape = UpstreamShape(f"10.0.{shard}.{copy}:80", "s1", {name: demo_hits(name)})
                 self.models[shape.address] = UpstreamModel(shape, seed=shard * 10 + copy)
                 shapes.append(shape)
-        self.shard_map = make_shard_map(shapes, ["dc1"] * len(shapes), batch_limit)
+                places.append(data_centres[copy % len(data_centres)])
+        self.shard_map = make_shard_map(shapes, places, batch_limit)
         self.platform = PlatformModel()
         self.store = FakeStore(self.platform)
         self.dialer = FakeDialer(self.models)
