Share a customer's rate over the tier by demand, with a safe part when cut off

Cause: max_rate was in the table and nothing kept it. Weighed: an equal part for each VM (safe, but a balancer that sends all to one VM leaves it a sixth of its rate); one owner that counts each request (a round trip for each); gossip of all demands to all VMs (3,200 messages a second to each daemon). Chosen: each second a VM reports its demand to the owner of the rate, found by rendezvous hashing, which grants it a part for 3 s. The owner shares out only the live VMs' part of all possible ones, and a VM without a grant keeps to one such part, so that a cut tier stays below the rate.

--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -120,6 +120,7 @@
         shards = self._catalogue.follow(self._store, random.Random(f"{self._name}/shards"))
         self._tasks.append(asyncio.create_task(tables, name="table"))
         self._tasks.append(asyncio.create_task(shards, name="shards"))
+        self._tasks.append(asyncio.create_task(self._policies.rates.run(), name="rates"))
 
     async def stop(self) -> None:
         """End the tasks, the orders at work and all connections to upstreams."""
--- a/auburncart/coordination/policies.py
+++ b/auburncart/coordination/policies.py
@@ -12,6 +12,7 @@
 from auburncart.coordination.quarantine import NoQuarantine, Quarantine
 from auburncart.coordination.ranked import RankedAdmission
 from auburncart.coordination.ranked_batching import RankedBatching
+from auburncart.coordination.rates import NoRates, Rates
 from auburncart.coordination.retry import Retrying, RetryThrice
 
 __all__ = ["Policies", "baseline_policies", "default_policies"]
@@ -27,6 +28,7 @@
     limit: ConnectionLimit
     quarantine: Quarantine
     retrying: Retrying
+    rates: Rates = NoRates()
 
 
 def baseline_policies(places: int, vms: int) -> Policies:
--- a/auburncart/coordination/search.py
+++ b/auburncart/coordination/search.py
@@ -17,6 +17,7 @@
     Row,
     SearchAnswer,
     SearchRequest,
+    Step,
     Work,
     find_row,
 )
@@ -87,6 +88,9 @@
             arrival,
             cost,
         )
+        wait = self._policies.rates.take(request.customer, row, arrival)
+        if wait > 0:
+            return Error(_over_rate(wait))
         admitted = await self._policies.admission.admit(work, row)
         if admitted.is_error():
             return Error(admitted.error)
@@ -103,3 +107,9 @@
         if result.is_error():
             return "refused"
         return "complete" if result.ok.coverage.complete else "partial"
+
+
+def _over_rate(wait: float) -> Refusal:
+    return Refusal(
+        RefusalCode.OVERLOADED, "over the table's max_rate", retry_after=wait, step=Step.ADMIT
+    )
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -16,6 +16,7 @@
     OrderRequest,
     Verdict,
 )
+from auburncart.state.rate import RateDemand, RateGrant, RateGrants, RateReport
 from auburncart.state.search import (
     Coverage,
     Hit,
@@ -73,6 +74,10 @@
     "QueryLoss",
     "Ran",
     "Rank",
+    "RateDemand",
+    "RateGrant",
+    "RateGrants",
+    "RateReport",
     "Refusal",
     "RefusalCode",
     "Replica",
--- a/auburncart/state/fact.py
+++ b/auburncart/state/fact.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 from auburncart.state.order import ClaimQuestion, ClaimReply
+from auburncart.state.rate import RateGrants, RateReport
 from auburncart.state.table import TableDocument
 
 __all__ = ["FACTS", "QueryLoss", "TableNews"]
@@ -31,4 +32,11 @@
     alone: bool
 
 
-FACTS: tuple[type[tuple[Any, ...]], ...] = (TableNews, QueryLoss, ClaimQuestion, ClaimReply)
+FACTS: tuple[type[tuple[Any, ...]], ...] = (
+    TableNews,
+    QueryLoss,
+    ClaimQuestion,
+    ClaimReply,
+    RateReport,
+    RateGrants,
+)
