--- a/auburncart/command/main.py
+++ b/auburncart/command/main.py
@@ -18,6 +18,11 @@
 EXIT_NOT_REACHED = 3
 
 app = App(name="auburncart", help="A query tier over many shards.", version=__version__)
+app.command(
+    "auburncart.command.bench:app",
+    name="bench",
+    help="Measure the decisions on virtual time, and the cost of control.",
+)
 app.command(
     "auburncart.command.check:check",
     name="check",
--- a/auburncart/coordination/choice.py
+++ b/auburncart/coordination/choice.py
@@ -2,6 +2,7 @@
 
 import math
 from abc import ABC, abstractmethod
+from collections import Counter
 from collections.abc import Sequence
 
 from auburncart.coordination.upstream import Upstream
@@ -28,7 +29,7 @@
     """Takes the candidates in turn, whatever their condition; the baseline."""
 
     def __init__(self) -> None:
-        self._turn = 0
+        self._turns: Counter[str] = Counter()
 
     def choose(
         self, candidates: Sequence[Upstream], now: float, deadline: float = math.inf
@@ -36,5 +37,6 @@
         """Return the next candidate in turn."""
         if not candidates:
             return None
-        self._turn += 1
-        return candidates[self._turn % len(candidates)]
+        first = candidates[0].address
+        self._turns[first] += 1
+        return candidates[self._turns[first] % len(candidates)]
