--- a/auburncart/coordination/capacity.py
+++ b/auburncart/coordination/capacity.py
@@ -1,30 +1,44 @@
 """How many sub-queries of this VM the upstreams can bear at the same time."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Mapping
 from typing import NamedTuple
 
-__all__ = ["AdaptiveCapacity", "Capacity", "FixedCapacity"]
+from auburncart.coordination.load_meter import LoadMeter
+from auburncart.state import Rank
+
+__all__ = ["AdaptiveCapacity", "Capacity", "FixedCapacity", "Sample"]
 
 MIN_SUB_QUERIES = 4.0
-MIN_SHARE = 0.25  # of the initial limit, which the limit never falls below
+MIN_SHARE = 0.25  # of the initial limit, which a limit never falls below
 MAX_SUB_QUERIES = 20_000.0
-TOLERANCE = 1.25  # time under load over time without, at which the limit neither grows nor falls
-HEADROOM = 0.05  # share of the initial limit by which the limit grows in each round
-WARM_UP_SEARCHES = 20  # before the limit grows, since new connections slow the first ones
+TOLERANCE = 1.25  # ratio of times above which a limit shrinks
+GROWTH = 0.05  # share of the initial limit by which a limit grows in each round
+WARM_UP_SEARCHES = 20  # before a limit grows, since new connections slow the first ones
 MOST_SHRINK = 0.7  # least factor of one round
-SMOOTHING = 0.2
-RISE_SECONDS = 60.0  # time constant by which the time without load rises
-BUSY_SHARE = 0.5  # share of the limit in use above which a search tells nothing of an idle fleet
+BUSY_SHARE = 0.5  # share of a limit in use above which it counts as used
 
 
-class Capacity(ABC):
-    """Limit on the sub-queries at work, which follows what is measured."""
+class Sample(NamedTuple):
+    """What one search tells of the upstreams.
 
-    @property
-    @abstractmethod
-    def limit(self) -> float:
-        """Most sub-queries at work at the same time."""
+    :param kind: kind of work.
+    :param seconds: time after which half of its shards had answered.
+    :param cost: number of its sub-queries.
+    :param in_use: sub-queries at work when it started, its own not counted, of each rank and of
+        more urgent ones.
+    :param queued: ranks of which requests wait.
+    """
+
+    kind: str
+    seconds: float
+    cost: int
+    in_use: Mapping[Rank, float]
+    queued: Collection[Rank] = ()
+
+
+class Capacity(ABC):
+    """Limits on the sub-queries at work, which follow what is measured."""
 
     @property
     @abstractmethod
@@ -32,58 +46,47 @@
         """Typical time of a sub-query in seconds, 0 before the first."""
 
     @abstractmethod
-    def record(self, kind: str, seconds: float, cost: int, in_use: float, now: float) -> None:
-        """Take in the median time of a search's sub-queries.
+    def limit(self, rank: Rank) -> float:
+        """Return the most sub-queries of a rank and of more urgent ones at work."""
+
+    @abstractmethod
+    def record(self, sample: Sample, now: float) -> None:
+        """Take in what one search has measured.
 
-        :param kind: kind of work.
-        :param seconds: time after which half of its shards had answered.
-        :param cost: number of its sub-queries.
-        :param in_use: sub-queries at work when it started, its own not counted.
         :param now: loop time in seconds.
         """
 
 
 class FixedCapacity(Capacity):
-    """A limit that never changes.
+    """Limits that never change.
 
-    :param limit: most sub-queries at work.
+    :param most: most sub-queries at work.
+    :param seconds: typical time of a sub-query.
     """
 
-    def __init__(self, limit: float) -> None:
-        self._limit = limit
-        self._seconds = 0.0
-
-    @property
-    def limit(self) -> float:
-        """Most sub-queries at work at the same time."""
-        return self._limit
+    def __init__(self, most: float, seconds: float) -> None:
+        self._most = most
+        self._seconds = seconds
 
     @property
     def seconds(self) -> float:
         """Typical time of a sub-query in seconds."""
         return self._seconds
 
-    def record(self, kind: str, seconds: float, cost: int, in_use: float, now: float) -> None:
-        """Take in the time, which changes no limit."""
-        self._seconds += (SMOOTHING if self._seconds else 1.0) * (seconds - self._seconds)
-
-
-class _Times(NamedTuple):
-    """Smoothed times of a kind's sub-queries in seconds: at present, and without load."""
+    def limit(self, rank: Rank) -> float:
+        """Return the same for each rank."""
+        return self._most
 
-    present: float
-    idle: float
-    since: float
+    def record(self, sample: Sample, now: float) -> None:
+        """Take in the time, which changes nothing."""
 
 
 class AdaptiveCapacity(Capacity):
-    """A limit that falls when sub-queries take longer than on an idle fleet.
+    """Limits that fall when sub-queries take longer than on idle upstreams.
 
-    The ratio of the present time to the time without load tells how long the upstreams' queues
-    are, whoever filled them. It is taken from the median of a search's sub-queries, which one
-    straggler does not move. The time without load is kept for each kind of work; it rises only
-    from searches that found this VM idle or its limit at the minimum, so that a long flood is
-    not taken for the normal state.
+    Each rank has a limit of its own. The limit that falls is that of the least urgent rank that
+    has work; a more urgent rank's falls only when those below are at their least, so that a
+    flood of background work takes no capacity from urgent work.
 
     :param initial: returns the limit to start from, such as this VM's share of all slots; it is
         called until it returns a number above 0.
@@ -91,60 +94,68 @@
 
     def __init__(self, initial: Callable[[], float]) -> None:
         self._initial = initial
-        self._limit = 0.0
-        self._seconds = 0.0
-        self._ratio = 1.0
-        self._times: dict[str, _Times] = {}
+        self._meter = LoadMeter()
+        self._limits: dict[Rank, float] = {}
+        self._peaks = dict.fromkeys(Rank, 0.0)
         self._searches = 0
         self._round = 0.0
-        self._peak = 0.0
-
-    @property
-    def limit(self) -> float:
-        """Most sub-queries at work at the same time."""
-        self._limit = self._limit or self._initial()
-        return self._limit or MIN_SUB_QUERIES
 
     @property
     def seconds(self) -> float:
         """Typical time of a sub-query in seconds, 0 before the first."""
-        return self._seconds
+        return self._meter.seconds
 
     @property
     def ratio(self) -> float:
         """Smoothed ratio of the present time to the time without load."""
-        return self._ratio
-
-    def record(self, kind: str, seconds: float, cost: int, in_use: float, now: float) -> None:
-        """Take in the median time of a search's sub-queries; a round ends after a limit of them."""
-        self._seconds += (SMOOTHING if self._seconds else 1.0) * (seconds - self._seconds)
-        weight = SMOOTHING * min(1.0, cost / self.limit)
-        self._ratio += weight * (self._kind_ratio(kind, seconds, in_use, now) - self._ratio)
+        return self._meter.ratio
+
+    def limit(self, rank: Rank) -> float:
+        """Return the most sub-queries of a rank and of more urgent ones at work."""
+        if not self._limits and self._initial() > 0:
+            self._limits = dict.fromkeys(Rank, max(MIN_SUB_QUERIES, self._initial()))
+        return self._limits.get(rank, MIN_SUB_QUERIES)
+
+    def record(self, sample: Sample, now: float) -> None:
+        """Take in what one search has measured; a round ends after a limit of sub-queries."""
+        limit = self.limit(Rank.BACKGROUND)
+        idle = sample.in_use[Rank.BACKGROUND] < BUSY_SHARE * limit
+        idle = idle or all(self.limit(rank) <= self._least() for rank in Rank)
+        weight = min(1.0, sample.cost / limit)
+        self._meter.record(sample.kind, sample.seconds, weight, idle, now)
         self._searches += 1
-        self._round += cost
-        self._peak = max(self._peak, in_use + cost)
-        if self._round >= self.limit:
-            self._end_round()
-
-    def _kind_ratio(self, kind: str, seconds: float, in_use: float, now: float) -> float:
-        times = self._times.setdefault(kind, _Times(seconds, seconds, now))
-        present = times.present + SMOOTHING * (seconds - times.present)
-        idle = min(times.idle, present)
-        if in_use < BUSY_SHARE * self.limit or self.limit <= self._least():
-            idle += min(1.0, (now - times.since) / RISE_SECONDS) * (present - idle)
-        self._times[kind] = _Times(present, idle, now)
-        return present / idle
-
-    def _end_round(self) -> None:
-        warm = self._searches > WARM_UP_SEARCHES
-        used = warm and self._peak >= BUSY_SHARE * self.limit
-        factor = max(MOST_SHRINK, min(1.0, TOLERANCE / self._ratio))
-        grown = self.limit * factor + (
-            HEADROOM * max(MIN_SUB_QUERIES, self._initial()) if used else 0.0
-        )
-        self._limit = min(MAX_SUB_QUERIES, max(self._least(), grown))
+        self._round += sample.cost
+        for rank in Rank:
+            self._peaks[rank] = max(self._peaks[rank], sample.in_use[rank] + sample.cost)
+        if self._round >= limit:
+            self._end_round(sample)
+
+    def _end_round(self, sample: Sample) -> None:
+        factor = max(MOST_SHRINK, min(1.0, TOLERANCE / self._meter.ratio))
+        falling = self._falling(sample.in_use) if factor < 1.0 else None
+        for rank in Rank:
+            limit = self.limit(rank)
+            if rank is falling:
+                limit *= factor
+            if self._grows(rank, falling, sample):
+                limit += GROWTH * self._initial()
+            self._limits[rank] = min(MAX_SUB_QUERIES, max(self._least(), limit))
+        self._peaks = dict.fromkeys(Rank, 0.0)
         self._round = 0.0
-        self._peak = 0.0
+
+    def _grows(self, rank: Rank, falling: Rank | None, sample: Sample) -> bool:
+        """Return whether a limit was used and the upstreams' queues are not of its making."""
+        if self._searches <= WARM_UP_SEARCHES or self._peaks[rank] < BUSY_SHARE * self.limit(rank):
+            return False
+        return falling in (None, rank) or (rank < falling and rank not in sample.queued)
+
+    def _falling(self, in_use: Mapping[Rank, float]) -> Rank:
+        """Return the least urgent rank that has work and is not at its least."""
+        for rank in reversed(Rank):
+            urgent = in_use[Rank(rank - 1)] if rank else 0.0
+            if in_use[rank] > urgent and self.limit(rank) > self._least():
+                return rank
+        return Rank.URGENT
 
     def _least(self) -> float:
         return max(MIN_SUB_QUERIES, MIN_SHARE * self._initial())
--- a/auburncart/coordination/lane.py
+++ b/auburncart/coordination/lane.py
@@ -5,7 +5,7 @@
 
 from auburncart.coordination.capacity import Capacity
 from auburncart.coordination.fair import FairQueue
-from auburncart.state import Row, Work
+from auburncart.state import Rank, Row, Work
 
 __all__ = ["Gate", "Lane", "Waiter"]
 
@@ -39,19 +39,20 @@
     in use keeps to the limit.
     """
 
-    def __init__(self, capacity: Capacity) -> None:
+    def __init__(self, capacity: Capacity, rank: Rank) -> None:
         self._capacity = capacity
+        self._rank = rank
         self.in_use = 0.0
         self.not_before = 0.0
 
     def open(self, now: float) -> bool:
         """Return whether a search may start now."""
-        return self.in_use < self._capacity.limit and now >= self.not_before
+        return self.in_use < self._capacity.limit(self._rank) and now >= self.not_before
 
     def enter(self, cost: float, now: float) -> None:
         """Count a search that starts."""
         self.in_use += cost
-        excess = max(0.0, cost / self._capacity.limit - 1.0)
+        excess = max(0.0, cost / self._capacity.limit(self._rank) - 1.0)
         self.not_before = max(self.not_before, now + excess * self._capacity.seconds)
 
 
@@ -59,16 +60,16 @@
     """One rank: its queue, its gate, and the floor that it is owed.
 
     :param capacity: limit on the sub-queries at work.
-    :param prompt: whether a late answer is worth less than an early refusal.
+    :param rank: the rank.
     """
 
-    def __init__(self, capacity: Capacity, prompt: bool) -> None:
+    def __init__(self, capacity: Capacity, rank: Rank) -> None:
         self._capacity = capacity
-        self._prompt = prompt
+        self._rank = rank
         self._pace = 0.0
         self._last_grant = 0.0
         self._standing: dict[str, float] = {}
-        self.gate = Gate(capacity)
+        self.gate = Gate(capacity, rank)
         self.queue: FairQueue[Waiter] = FairQueue()
         self.credit = 0.0
 
@@ -113,7 +114,7 @@
         A queue of urgent requests that does not empty only makes each of them late.
         """
         since = self._standing.get(customer, now)
-        if not self._prompt or now - since < BURST_SECONDS:
+        if self._rank is not Rank.URGENT or now - since < BURST_SECONDS:
             return math.inf
         return STANDING_WAIT_TIMES * self._capacity.seconds
 
@@ -126,7 +127,7 @@
         return waiter if now > min(waiter.latest, waiter.queued_at + longest) else None
 
     def _present_pace(self, now: float) -> float:
-        expected = self._capacity.seconds / self._capacity.limit
+        expected = self._capacity.seconds / self._capacity.limit(self._rank)
         first = self.queue.peek(lambda waiter: True)
         if first is None:
             return expected
--- a/auburncart/coordination/ranked.py
+++ b/auburncart/coordination/ranked.py
@@ -6,7 +6,7 @@
 from expression import Error, Ok, Result
 
 from auburncart.coordination.admission import Admission, Ticket
-from auburncart.coordination.capacity import AdaptiveCapacity, Capacity
+from auburncart.coordination.capacity import AdaptiveCapacity, Capacity, Sample
 from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.lane import Lane, Waiter
 from auburncart.coordination.mailbox import CLOCK_STEP_SECONDS
@@ -27,7 +27,9 @@
     :param in_use: sub-queries at work when it started.
     """
 
-    def __init__(self, admission: "RankedAdmission", waiter: Waiter, in_use: float) -> None:
+    def __init__(
+        self, admission: "RankedAdmission", waiter: Waiter, in_use: dict[Rank, float]
+    ) -> None:
         self._admission = admission
         self._work = waiter.work
         self._in_use = in_use
@@ -72,7 +74,7 @@
         self._tables: TableKeeper | None = None
         self._catalogue: Catalogue | None = None
         self._capacity = capacity or AdaptiveCapacity(self._share)
-        self._lanes = {rank: Lane(self._capacity, prompt=rank is Rank.URGENT) for rank in Rank}
+        self._lanes = {rank: Lane(self._capacity, rank) for rank in Rank}
         self._queued: dict[RowKey, int] = {}
         self._at_work: dict[RowKey, int] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -97,7 +99,7 @@
         if refusal is not None:
             return Error(refusal)
         waiter = Waiter(work, row, work.deadline - self._needed())
-        in_use = self._lanes[Rank.BACKGROUND].gate.in_use
+        in_use = {rank: lane.gate.in_use for rank, lane in self._lanes.items()}
         self._enqueue(waiter)
         try:
             async with asyncio.timeout_at(waiter.latest):
@@ -158,9 +160,10 @@
         lane.left(waiter)
         _subtract(self._queued, _row_key(work))
 
-    def _measure(self, work: Work, seconds: float, in_use: float) -> None:
+    def _measure(self, work: Work, seconds: float, in_use: dict[Rank, float]) -> None:
         now = asyncio.get_running_loop().time()
-        self._capacity.record(work.kind, seconds, work.cost, in_use, now)
+        queued = {rank for rank, lane in self._lanes.items() if lane.queue}
+        self._capacity.record(Sample(work.kind, seconds, work.cost, in_use, queued), now)
 
     def _leave(self, rank: Rank, cost: int) -> None:
         for other, lane in self._lanes.items():
--- a/auburncart/coordination/tests/test_ranked.py
+++ b/auburncart/coordination/tests/test_ranked.py
@@ -22,8 +22,7 @@
     def __init__(self, limit: float = 4 * COST, vms: int = 1) -> None:
         self.tables = TableKeeper()
         self.tables.install(TableDocument(Table(1, (), FLOORS)))
-        capacity = FixedCapacity(limit)
-        capacity.record("search", SERVICE_SECONDS, COST, 0.0, 0.0)
+        capacity = FixedCapacity(limit, SERVICE_SECONDS)
         self.admission = RankedAdmission(lambda: vms, capacity)
         self.admission.follow(self.tables, Catalogue())
         self.served: Counter[tuple[str, Rank]] = Counter()
