--- a/auburncart/coordination/capacity.py
+++ b/auburncart/coordination/capacity.py
@@ -7,12 +7,12 @@
 from auburncart.coordination.load_meter import LoadMeter
 from auburncart.state import Rank
 
-__all__ = ["AdaptiveCapacity", "Capacity", "FixedCapacity", "Sample"]
+__all__ = ["TOLERANCE", "AdaptiveCapacity", "Capacity", "FixedCapacity", "Sample"]
 
 MIN_SUB_QUERIES = 4.0
 MIN_SHARE = 0.25  # of the initial limit, which a limit never falls below
 MAX_SUB_QUERIES = 20_000.0
-TOLERANCE = 1.25  # ratio of times above which a limit shrinks
+TOLERANCE = 1.15  # default of the ratio of times above which a limit shrinks
 GROWTH = 0.05  # share of the initial limit by which a limit grows in each round
 WARM_UP_SEARCHES = 20  # before a limit grows, since new connections slow the first ones
 MOST_SHRINK = 0.7  # least factor of one round
@@ -90,10 +90,13 @@
 
     :param initial: returns the limit to start from, such as this VM's share of all slots; it is
         called until it returns a number above 0.
+    :param tolerance: ratio of the present time to the time without load above which a limit
+        falls; a lower one keeps urgent work faster, a higher one serves more of the rest.
     """
 
-    def __init__(self, initial: Callable[[], float]) -> None:
+    def __init__(self, initial: Callable[[], float], tolerance: float = TOLERANCE) -> None:
         self._initial = initial
+        self._tolerance = tolerance
         self._meter = LoadMeter()
         self._limits: dict[Rank, float] = {}
         self._peaks = dict.fromkeys(Rank, 0.0)
@@ -131,7 +134,7 @@
             self._end_round(sample)
 
     def _end_round(self, sample: Sample) -> None:
-        factor = max(MOST_SHRINK, min(1.0, TOLERANCE / self._meter.ratio))
+        factor = max(MOST_SHRINK, min(1.0, self._tolerance / self._meter.ratio))
         falling = self._falling(sample.in_use) if factor < 1.0 else None
         for rank in Rank:
             limit = self.limit(rank)
--- a/auburncart/coordination/pinning.py
+++ b/auburncart/coordination/pinning.py
@@ -79,7 +79,6 @@
         self, request: SearchRequest, rank: Rank, ticket: Ticket, pinned: ShardMap
     ) -> Gather:
         names = tuple(dict.fromkeys(request.shards)) or tuple(sorted(pinned.shards))
-        ticket.progress(len(names))
         return Gather(
             request,
             pinned,
--- a/auburncart/coordination/policies.py
+++ b/auburncart/coordination/policies.py
@@ -5,21 +5,26 @@
 
 from auburncart.coordination.admission import Admission, FirstComeAdmission
 from auburncart.coordination.batching import Batching, OnePerRequest
+from auburncart.coordination.capacity import TOLERANCE
 from auburncart.coordination.choice import ReplicaChoice, RoundRobinChoice
-from auburncart.coordination.hedge import Hedging, NoHedging
+from auburncart.coordination.drain import Draining, NoDraining
+from auburncart.coordination.hedge import AdaptiveHedging, Hedging, NoHedging
 from auburncart.coordination.limits import ConnectionLimit, FixedLimit
 from auburncart.coordination.loaded import LeastLoadedChoice
+from auburncart.coordination.poison import StrikeQuarantine
+from auburncart.coordination.pressure import InFlightLimit, OpenInFlight
 from auburncart.coordination.quarantine import NoQuarantine, Quarantine
 from auburncart.coordination.ranked import RankedAdmission
 from auburncart.coordination.ranked_batching import RankedBatching
 from auburncart.coordination.rates import NoRates, Rates
-from auburncart.coordination.retry import Retrying, RetryThrice
+from auburncart.coordination.redial import BackoffRedialing, ImmediateRedialing, Redialing
+from auburncart.coordination.retry import BudgetedRetrying, Retrying, RetryThrice
 
 __all__ = ["Policies", "baseline_policies", "default_policies"]
 
 
 class Policies(NamedTuple):
-    """One policy for each matter that varies."""
+    """One policy for each matter that varies; ``pressure`` makes one for each upstream."""
 
     admission: Admission
     batching: Batching
@@ -28,6 +33,9 @@
     limit: ConnectionLimit
     quarantine: Quarantine
     retrying: Retrying
+    redialing: Redialing = ImmediateRedialing()
+    draining: Draining = NoDraining()
+    pressure: Callable[[], InFlightLimit] = OpenInFlight
     rates: Rates = NoRates()
 
 
@@ -48,20 +56,27 @@
     )
 
 
-def default_policies(vms: int, sharing: Callable[[], int] | None = None, seed: int = 0) -> Policies:
+def default_policies(
+    vms: int,
+    sharing: Callable[[], int] | None = None,
+    seed: int = 0,
+    tolerance: float = TOLERANCE,
+) -> Policies:
     """Return the policies that the daemon runs with.
 
     :param vms: number of VMs that may connect to one upstream.
     :param sharing: returns the number of VMs that share a limit of a data centre now; by default
         ``vms``.
     :param seed: seed of random draws.
+    :param tolerance: slowing down of sub-queries above which less work is let in.
     """
     return Policies(
-        admission=RankedAdmission(sharing or (lambda: vms)),
+        admission=RankedAdmission(sharing or (lambda: vms), tolerance=tolerance),
         batching=RankedBatching(),
         choice=LeastLoadedChoice(seed),
-        hedging=NoHedging(),
+        hedging=AdaptiveHedging(),
         limit=FixedLimit(vms),
-        quarantine=NoQuarantine(),
-        retrying=RetryThrice(),
+        quarantine=StrikeQuarantine(seed),
+        retrying=BudgetedRetrying(seed=seed),
+        redialing=BackoffRedialing(seed),
     )
--- a/auburncart/coordination/ranked.py
+++ b/auburncart/coordination/ranked.py
@@ -6,7 +6,7 @@
 from expression import Error, Ok, Result
 
 from auburncart.coordination.admission import Admission, Ticket
-from auburncart.coordination.capacity import AdaptiveCapacity, Capacity, Sample
+from auburncart.coordination.capacity import TOLERANCE, AdaptiveCapacity, Capacity, Sample
 from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.lane import Lane, Waiter
 from auburncart.coordination.mailbox import CLOCK_STEP_SECONDS
@@ -33,7 +33,7 @@
         self._admission = admission
         self._work = waiter.work
         self._in_use = in_use
-        self._started = asyncio.get_running_loop().time()
+        self._started: float | None = None
         self._remaining = waiter.work.cost
         self._measured = False
 
@@ -43,14 +43,20 @@
         A search that starts again takes its place anew, with a larger number.
         """
         ended = self._remaining - remaining
-        if not ended:
-            return
-        self._remaining -= ended
-        if not self._measured and 2 * self._remaining <= self._work.cost:
-            self._measured = True
-            now = asyncio.get_running_loop().time()
+        if ended:
+            self._remaining = remaining
+            self._admission._leave(self._work.rank, ended)
+        if not self._measured:
+            self._measure(remaining)
+
+    def _measure(self, remaining: int) -> None:
+        """Take the time from the first word of progress until half of the shards have ended."""
+        now = asyncio.get_running_loop().time()
+        self._measured = 2 * remaining <= self._work.cost
+        if self._started is None:
+            self._started = now
+        elif self._measured and now > self._started:
             self._admission._measure(self._work, now - self._started, self._in_use)
-        self._admission._leave(self._work.rank, ended)
 
     def release(self) -> None:
         """Give up the rest of the place."""
@@ -66,14 +72,20 @@
     is owed its floor of all that is let in, and goes first when it is owed enough.
 
     :param vms: returns the number of VMs that share the slots and a row's ``max_in_flight``.
-    :param capacity: limit on the sub-queries at work; by default one that follows the upstreams.
+    :param capacity: limits on the sub-queries at work; by default such that follow the upstreams.
+    :param tolerance: slowing down that such limits allow.
     """
 
-    def __init__(self, vms: Callable[[], int], capacity: Capacity | None = None) -> None:
+    def __init__(
+        self,
+        vms: Callable[[], int],
+        capacity: Capacity | None = None,
+        tolerance: float = TOLERANCE,
+    ) -> None:
         self._vms = vms
         self._tables: TableKeeper | None = None
         self._catalogue: Catalogue | None = None
-        self._capacity = capacity or AdaptiveCapacity(self._share)
+        self._capacity = capacity or AdaptiveCapacity(self._share, tolerance)
         self._lanes = {rank: Lane(self._capacity, rank) for rank in Rank}
         self._queued: dict[RowKey, int] = {}
         self._at_work: dict[RowKey, int] = {}
--- a/auburncart/coordination/tests/test_batching.py
+++ b/auburncart/coordination/tests/test_batching.py
@@ -30,11 +30,13 @@
     async def requests(self, batch_limit: int) -> int:
         site = Site(shards=SHARDS, policies=default_policies(vms=3))
         site.catalogue.install(on_few_upstreams(site, batch_limit))
-        answer = (await site.searches.search(search_request())).ok
+        await site.searches.search(search_request(1))
+        before = sum(model.requests for model in site.models.values())
+        answer = (await site.searches.search(search_request(2))).ok
         await site.close()
         self.assertTrue(answer.coverage.complete)
         self.assertEqual(len(answer.hits), SHARDS)
-        return sum(model.requests for model in site.models.values())
+        return sum(model.requests for model in site.models.values()) - before
 
     @virtual_time
     async def test_a_fifth_of_the_requests_or_less_where_upstreams_take_batches(self) -> None:
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -16,6 +16,7 @@
     OrderRequest,
     Verdict,
 )
+from auburncart.state.query import QueryRun, query_digest
 from auburncart.state.rate import RateDemand, RateGrant, RateGrants, RateReport
 from auburncart.state.search import (
     Coverage,
@@ -72,6 +73,7 @@
     "OrderReply",
     "OrderRequest",
     "QueryLoss",
+    "QueryRun",
     "Ran",
     "Rank",
     "RateDemand",
@@ -98,4 +100,5 @@
     "Work",
     "coverage_of",
     "find_row",
+    "query_digest",
 ]
--- a/auburncart/tests/steps.py
+++ b/auburncart/tests/steps.py
@@ -152,9 +152,6 @@
         )
         return _SteppedConnection(self._vm, connection, self._steps)
 
-    async def cancel(self, replica: Replica, request_id: str) -> None:
-        await self._dialer.cancel(replica, request_id)
-
 
 class _SteppedConnection(UpstreamConnection):
     def __init__(self, vm: str, connection: UpstreamConnection, steps: Steps) -> None:
@@ -172,5 +169,8 @@
             lambda: UpstreamError("cut", step="reply"),
         )
 
+    async def cancel(self, request_id: str) -> None:
+        await self._connection.cancel(request_id)
+
     async def close(self) -> None:
         await self._connection.close()
