--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -122,6 +122,7 @@
         shards = self._catalogue.follow(self._store, random.Random(f"{self._name}/shards"))
         self._tasks.append(asyncio.create_task(tables, name="table"))
         self._tasks.append(asyncio.create_task(shards, name="shards"))
+        self._tasks.append(asyncio.create_task(self._policies.rates.run(), name="rates"))
 
     def share_claims(self, membership: Membership, bus: PeerBus) -> None:
         """Let one VM write each bucket of claims; call it before :meth:`start`."""
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -114,6 +114,11 @@
         running = sum(len(jobs) for jobs in self._running.values())
         return self.waiting + running + self._open_orders
 
+    @property
+    def at_work(self) -> int:
+        """Number of requests at work."""
+        return len(self._running)
+
     @property
     def connections(self) -> int:
         """Number of connections held or being opened."""
--- a/auburncart/daemon/entry.py
+++ b/auburncart/daemon/entry.py
@@ -121,7 +121,9 @@
 
     def _make_policies(self) -> Policies:
         return default_policies(
-            self._settings.connecting_vms, seed=zlib.crc32(self._settings.name.encode())
+            self._settings.connecting_vms,
+            seed=zlib.crc32(self._settings.name.encode()),
+            tolerance=self._settings.load_tolerance,
         )
 
 
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -41,6 +41,7 @@
     Verdict,
 )
 from auburncart.state.query import QueryRun, query_digest
+from auburncart.state.rate import RateDemand, RateGrant, RateGrants, RateReport
 from auburncart.state.search import (
     Coverage,
     Hit,
@@ -112,6 +113,10 @@
     "Question",
     "Ran",
     "Rank",
+    "RateDemand",
+    "RateGrant",
+    "RateGrants",
+    "RateReport",
     "Refusal",
     "RefusalCode",
     "Replica",
--- a/auburncart/state/fact.py
+++ b/auburncart/state/fact.py
@@ -9,6 +9,7 @@
 from auburncart.state.link import Versions
 from auburncart.state.member import Member
 from auburncart.state.order import ClaimQuestion, ClaimReply
+from auburncart.state.rate import RateGrants, RateReport
 from auburncart.state.shards import ShardMap
 from auburncart.state.table import TableDocument
 
@@ -118,4 +119,6 @@
     Roll,
     StatusAsk,
     StatusNews,
+    RateReport,
+    RateGrants,
 )
