A connection that ended while idle is dialled anew and strikes no query

Two replicas of a shard were killed while idle; the next search found each kept connection broken, which counted as two upstreams lost while they ran that query, so a good query was refused for that shard for 30 s.

Change: a kept connection is checked for the other side's end before a request is sent on it (urllib3's wait_for_read; the fake likewise). Such a failure is of the step 'connect' and says that nothing was sent: the sub-query is retried, no strike, and an order may go to another replica.

Ruled out: more strikes before a query is refused, which raises the bound of upstreams that a poison query takes.

--- a/auburncart/standins/fakes.py
+++ b/auburncart/standins/fakes.py
@@ -142,6 +142,10 @@
 
     async def _exchange(self, call, deadline):  # type: ignore[no-untyped-def]
         address = self._model.shape.address
+        if self._ended():
+            call.close()
+            reason = "closed by the other side"
+            raise UpstreamError(reason, step="connect", peer=address, sent=False)
         try:
             async with asyncio.timeout_at(deadline):
                 await self._travel()
@@ -158,6 +162,12 @@
             call.close()
         return reply
 
+    def _ended(self) -> bool:
+        """Return whether the upstream's end of the connection has reached this side."""
+        if self._model.shape.address in self._cut:
+            return False
+        return not self._model.alive or self._start != self._model.starts
+
     async def _travel(self) -> None:
         await asyncio.sleep(self._seconds)
         if self._model.shape.address in self._cut:
--- a/auburncart/transport/http.py
+++ b/auburncart/transport/http.py
@@ -9,6 +9,7 @@
 
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
+from urllib3.util import wait_for_read
 
 from auburncart.exception import LinkError, LinkTimeoutError
 from auburncart.transport.worker import Worker
@@ -69,10 +70,13 @@
         """Send one request and wait for its reply.
 
         :param seconds: time limit for each wait on the socket.
-        :raises LinkError: no whole reply arrived.
+        :raises LinkError: no whole reply arrived; nothing was sent if its step is ``connect``.
         """
         if self._closed:
-            raise LinkError("the connection is closed", step="send", peer=self._address)
+            raise LinkError("the connection is closed", step="connect", peer=self._address)
+        if self._ended():
+            self.close()
+            raise LinkError("closed by the other side", step="connect", peer=self._address)
         try:
             return await self._worker.run(self.request_here, method, path, body, headers, seconds)
         except TimeoutError as error:
@@ -86,6 +90,11 @@
             self.close()
             raise
 
+    def _ended(self) -> bool:
+        """Return whether the other side closed the connection, or sent what nobody asked for."""
+        sock = self._http.sock
+        return sock is None or wait_for_read(sock, timeout=0.0)
+
     def connect_here(self) -> None:
         """Open the connection on the calling thread, which blocks."""
         self._http.connect()
--- a/auburncart/transport/tests/test_upstream.py
+++ b/auburncart/transport/tests/test_upstream.py
@@ -11,6 +11,7 @@
 from auburncart.transport.upstream import HttpUpstreamDialer
 
 LONG_SECONDS = 20.0
+CLOSE_SECONDS = 0.5  # in which a close travels over loopback
 Reply = Callable[[dict[str, Any]], bytes]
 
 
@@ -30,12 +31,18 @@
     return http(json.dumps({**fields, **changes}).encode())
 
 
-async def with_upstream(make: Reply, act: Callable[[Replica], Awaitable[Any]]) -> Any:
-    """Run an upstream that answers each request by ``make``, and something against it."""
+async def with_upstream(
+    make: Reply, act: Callable[[Replica], Awaitable[Any]], requests: int = 1000
+) -> Any:
+    """Run an upstream that answers each request by ``make``, and something against it.
+
+    :param requests: number of requests after which it closes a connection.
+    """
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
-            while head := await reader.readuntil(b"\r\n\r\n"):
+            for _ in range(requests):
+                head = await reader.readuntil(b"\r\n\r\n")
                 length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
                 writer.write(make(json.loads(await reader.readexactly(length))))
                 await writer.drain()
@@ -145,6 +152,18 @@
         (answer,) = asyncio.run(with_upstream(make, act))
         self.assertEqual(answer.hits, ({"text": "net 2"},))
 
+    def test_connection_that_the_upstream_closed_while_idle_was_sent_nothing(self) -> None:
+        async def act(replica: Replica) -> UpstreamError:
+            connection = await HttpUpstreamDialer().connect(replica)
+            await connection.search(batch())
+            await asyncio.sleep(CLOSE_SECONDS)
+            with self.assertRaises(UpstreamError) as caught:
+                await connection.search(batch())
+            return caught.exception
+
+        error = asyncio.run(with_upstream(reply, act, requests=1))
+        self.assertEqual((error.step, error.sent), ("connect", False))
+
     def test_order_whose_reply_is_lost_may_have_been_sent(self) -> None:
         async def act(replica: Replica) -> None:
             connection = await HttpUpstreamDialer().connect(replica)
--- a/auburncart/transport/upstream.py
+++ b/auburncart/transport/upstream.py
@@ -24,6 +24,7 @@
 GRACE_SECONDS = 0.05  # an upstream that keeps its deadline may answer this much later
 HEADERS = {"Content-Type": "application/json"}
 OK = 200
+CONNECT = "connect"
 SHED = (429, 503)
 
 
@@ -71,7 +72,10 @@
         except LinkTimeoutError as error:
             raise UpstreamTimeoutError(error.reason, step=error.step, peer=self._address) from error
         except LinkError as error:
-            raise UpstreamError(error.reason, step=error.step, peer=self._address) from error
+            sent = error.step != CONNECT
+            raise UpstreamError(
+                error.reason, step=error.step, peer=self._address, sent=sent
+            ) from error
         if reply.status != OK:
             reason = f"status {reply.status}: {reply.body[:200]!r}"
             kind = UpstreamShedError if reply.status in SHED else UpstreamRefusedError
