Seats: shares of upstreams' connections that add up to the limit, whoever knows what (decisions)

Cause: a fixed share lets the sum exceed an upstream's limit as soon as one VM more than planned runs, and wastes connections when fewer do.

A VM that knew an older plan grew although another seat had confirmed a newer one, whose shares it could not know. It now takes nothing more until it knows that plan.

Ruled out: equal shares by Membership.possible (a newcomer unknown to the others breaks the sum); leases by time (a paused holder's connections stay open past the lease).

--- a/auburncart/coordination/membership.py
+++ b/auburncart/coordination/membership.py
@@ -112,6 +112,11 @@
         )
         return others + (self.own.data_centre == data_centre)
 
+    def find(self, address: str) -> Member | None:
+        """Return what is believed of the VM at an address, None if it is not known."""
+        record = self._records.get(address)
+        return record.member if record else None
+
     def condition(self, address: str) -> Condition | None:
         """Return the condition of a VM, None if it is not known."""
         record = self._records.get(address)
--- a/auburncart/coordination/peers.py
+++ b/auburncart/coordination/peers.py
@@ -97,16 +97,17 @@
 
     def publish(self, fact: tuple[Any, ...]) -> None:
         """Spread a fact to all VMs by flooding it over the links."""
-        own = self._own()
-        publication = Publication(own, next(self._numbers), MOST_HOPS, fact)
-        self._is_new(publication)
-        self._flood(publication, "")
+        self._publish(fact, near=False)
+
+    def publish_near(self, fact: tuple[Any, ...]) -> None:
+        """Spread a fact to the VMs of this data centre only."""
+        self._publish(fact, near=True)
 
     def tell(self, address: str, fact: tuple[Any, ...]) -> None:
         """Send a fact to one linked VM only."""
         linked = self._links.get(address)
         if linked is not None:
-            linked.link.post(Publication(self._own(), 0, 0, fact))
+            linked.link.post(Publication(self._own(), 0, 0, True, fact))
 
     def subscribe(self, kind: type[F], handler: Callable[[F, Member], None]) -> None:
         """Call ``handler(fact, origin)`` for each arriving fact of a kind."""
@@ -181,6 +182,11 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _publish(self, fact: tuple[Any, ...], *, near: bool) -> None:
+        publication = Publication(self._own(), next(self._numbers), MOST_HOPS, near, fact)
+        self._is_new(publication)
+        self._flood(publication, "")
+
     def _dial_task(self, address: str) -> asyncio.Task[None]:
         task = self._dialling.get(address)
         if task is None:
@@ -318,7 +324,8 @@
     def _flood(self, publication: Publication, but: str) -> None:
         done = {but, publication.origin.address}
         for linked in self._links:
-            if linked.member.address not in done:
+            far = linked.member.data_centre != publication.origin.data_centre
+            if linked.member.address not in done and not (far and publication.near):
                 done.add(linked.member.address)
                 linked.link.post(publication)
 
--- /dev/null
+++ b/auburncart/coordination/seating.py
@@ -0,0 +1,138 @@
+"""Taking, confirming, giving back and reclaiming seats through the platform's store."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+
+from eliot import log_message
+
+from auburncart.coordination.backoff import Backoff
+from auburncart.coordination.interfaces import Key, Store
+from auburncart.coordination.membership import Roster
+from auburncart.coordination.peers import Peers
+from auburncart.coordination.seats import SeatShares
+from auburncart.coordination.spread import is_reader
+from auburncart.exception import StoreConflictError, StoreUnavailableError
+from auburncart.state import Condition, Member, Replica, Seat, SeatPlan, SeatPlans, SeatSeen
+
+__all__ = ["Seating", "seats_key"]
+
+TICK_SECONDS = 0.2
+REPEAT_SECONDS = 5.0
+RECLAIM_SECONDS = 3.0
+MOST_PLANS = 64
+
+
+def seats_key(data_centre: str) -> Key[SeatPlans]:
+    """Return the key of a data centre's seat plans."""
+    return Key("seats", data_centre)
+
+
+class Seating:
+    """Keeps this VM's seat.
+
+    :param shares: the shares that follow from the plans.
+    :param held: returns the connections held at the moment, by replica.
+    :param trim: closes idle connections that exceed the shares.
+    :param learnt: called with plans read from the store.
+    """
+
+    def __init__(
+        self,
+        shares: SeatShares,
+        store: Store,
+        roster: Roster,
+        peers: Peers,
+        held: Callable[[], Iterable[tuple[Replica, int]]],
+        trim: Callable[[], None],
+        learnt: Callable[[SeatPlans], None],
+        seed: int,
+    ) -> None:
+        self._shares = shares
+        self._store = store
+        self._roster = roster
+        self._peers = peers
+        self._held = held
+        self._trim = trim
+        self._learnt = learnt
+        self._key = seats_key(roster.own.data_centre)
+        self._random = random.Random(f"{seed} seats")
+        self._said = 0
+        self._said_at = 0.0
+        peers.subscribe(SeatSeen, self._heard)
+
+    async def confirm(self) -> None:
+        """Hand connections back as plans change, and confirm each plan; runs until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            self._trim()
+            plans = self._shares.plans
+            if plans is not None and self._shares.keeps_to_plan(self._held()):
+                settled = len(plans.plans) == 1
+                again = not settled and loop.time() - self._said_at >= REPEAT_SECONDS
+                if self._said < self._shares.epoch or again:
+                    self._say(loop.time())
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def keep(self) -> None:
+        """Take a seat, and as a reader reclaim those of ended VMs; runs until cancelled."""
+        backoff = Backoff(self._random)
+        while True:
+            try:
+                if not self._shares.seated:
+                    await self._change(self._shares.own, ())
+                elif is_reader(self._roster) and self._ended():
+                    await self._change(None, self._ended())
+                backoff.reset()
+                await asyncio.sleep(RECLAIM_SECONDS * self._random.uniform(0.5, 1.0))
+            except (StoreUnavailableError, StoreConflictError):
+                await asyncio.sleep(backoff.next())
+
+    async def give_back(self) -> None:
+        """Free this VM's seat; all its connections are closed by now."""
+        try:
+            await self._change(None, (self._shares.own,))
+        except (StoreUnavailableError, StoreConflictError) as error:
+            log_message(message_type="seat_not_freed", reason=str(error))
+
+    def _heard(self, seen: SeatSeen, origin: Member) -> None:
+        if origin.data_centre == self._roster.own.data_centre:
+            self._shares.confirm(seen.seat, seen.epoch)
+
+    def _say(self, now: float) -> None:
+        self._said, self._said_at = self._shares.epoch, now
+        self._peers.publish_near(SeatSeen(self._shares.own, self._said))
+
+    def _ended(self) -> tuple[Seat, ...]:
+        plans = self._shares.plans
+        seats = plans.newest.seats if plans else ()
+        return tuple(seat for seat in seats if self._has_ended(seat))
+
+    def _has_ended(self, seat: Seat) -> bool:
+        member = self._roster.find(seat.address)
+        if member is None or seat == self._shares.own:
+            return False
+        return member.incarnation > seat.incarnation or member.condition is Condition.ENDED
+
+    async def _change(self, joining: Seat | None, leaving: tuple[Seat, ...]) -> None:
+        stored = await self._store.read(self._key)
+        old = stored.value if stored else SeatPlans((SeatPlan(0, ()),))
+        seats = [seat for seat in old.newest.seats if seat not in leaving]
+        if joining is not None:
+            # A new process at an address shows that the one before it has ended.
+            seats = [seat for seat in seats if seat.address != joining.address] + [joining]
+        if tuple(seats) == old.newest.seats:
+            self._learnt(old)
+            return
+        plans = self._with(old, tuple(seats))
+        if len(plans.plans) > MOST_PLANS:
+            raise StoreUnavailableError("too many plans are unconfirmed", step="seat")
+        await self._store.write(self._key, plans, stored.etag if stored else "")
+        log_message(message_type="seats_changed", epoch=plans.newest.epoch, seats=len(seats))
+        self._learnt(plans)
+
+    def _with(self, old: SeatPlans, seats: tuple[Seat, ...]) -> SeatPlans:
+        newest = SeatPlan(old.newest.epoch + 1, seats)
+        oldest = min((self._shares.confirmed(seat) for seat in old.newest.seats), default=0)
+        kept = tuple(plan for plan in old.plans if plan.epoch >= oldest)
+        return SeatPlans((*(kept or old.plans[-1:]), newest))
--- /dev/null
+++ b/auburncart/coordination/tests/test_seats.py
@@ -0,0 +1,166 @@
+import random
+import unittest
+
+from auburncart.coordination.seats import SeatShares, pool_of, share_of
+from auburncart.state import Replica, Seat, SeatPlan, SeatPlans
+
+REPLICAS = (
+    Replica("10.1.0.1:80", "dc1", connections=25),
+    Replica("10.1.0.2:80", "dc1", connections=4),
+    Replica("10.1.0.3:80", "dc1", connections=1),
+)
+
+
+class _Vm:
+    """A VM as the random run sees it: its decisions and what it holds."""
+
+    def __init__(self, seat: Seat) -> None:
+        self.shares = SeatShares(seat, "dc1", 1)
+        self.held = dict.fromkeys(REPLICAS, 0)
+        self.paused = False
+        self.said = 0
+
+
+class RandomRun:
+    """Joins, leaves, pauses and views that differ, one small step at a time."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.plans = SeatPlans((SeatPlan(0, ()),))
+        self.vms: list[_Vm] = []
+        self.started = 0
+        self.used: list[float] = []
+        self.steps = (
+            self.join, self.leave, self.pause, *[self.learn] * 6, *[self.take] * 8,
+            *[self.hand_back] * 4, *[self.confirm] * 4, *[self.hear] * 10,
+        )  # fmt: skip
+
+    def step(self) -> None:
+        self.random.choice(self.steps)()
+        for replica in REPLICAS:
+            held = sum(vm.held[replica] for vm in self.vms)
+            if held > replica.connections:
+                raise AssertionError(f"{held} connections, limit {replica.connections}")
+        total = sum(sum(vm.held.values()) for vm in self.vms)
+        self.used.append(total / sum(replica.connections for replica in REPLICAS))
+
+    def pick(self) -> _Vm | None:
+        awake = [vm for vm in self.vms if not vm.paused]
+        return self.random.choice(awake) if awake else None
+
+    def write(self, seats: tuple[Seat, ...]) -> None:
+        writer = self.pick()
+        confirmed = [
+            writer.shares.confirmed(seat) if writer else 0 for seat in self.plans.newest.seats
+        ]
+        oldest = min(confirmed, default=0)
+        kept = tuple(plan for plan in self.plans.plans if plan.epoch >= oldest)
+        newest = SeatPlan(self.plans.newest.epoch + 1, seats)
+        self.plans = SeatPlans((*(kept or self.plans.plans[-1:]), newest))
+
+    def join(self) -> None:
+        if len(self.vms) < 9:
+            self.started += 1
+            vm = _Vm(Seat(f"10.0.0.{self.started}:7000", 1))
+            self.write((*self.plans.newest.seats, vm.shares.own))
+            self.vms.append(vm)
+
+    def leave(self) -> None:
+        vm = self.pick()
+        if vm is not None and len(self.vms) > 2:
+            self.vms.remove(vm)
+            self.write(tuple(seat for seat in self.plans.newest.seats if seat != vm.shares.own))
+
+    def pause(self) -> None:
+        vm = self.random.choice(self.vms) if self.vms else None
+        if vm is not None:
+            vm.paused = not vm.paused
+
+    def learn(self) -> None:
+        vm = self.pick()
+        if vm is not None:
+            vm.shares.install(self.plans)
+
+    def take(self) -> None:
+        vm, replica = self.pick(), self.random.choice(REPLICAS)
+        if vm is not None:
+            allowed = vm.shares.connections(replica)
+            vm.held[replica] = max(vm.held[replica], allowed)
+
+    def hand_back(self) -> None:
+        vm, replica = self.pick(), self.random.choice(REPLICAS)
+        if vm is not None:
+            vm.held[replica] = min(vm.held[replica], vm.shares.connections(replica))
+
+    def confirm(self) -> None:
+        vm = self.pick()
+        if vm is not None and vm.shares.keeps_to_plan(vm.held.items()):
+            vm.said = vm.shares.epoch
+
+    def hear(self) -> None:
+        vm, other = self.pick(), self.random.choice(self.vms) if self.vms else None
+        if vm is not None and other is not None:
+            vm.shares.confirm(other.shares.own, other.said)
+
+    def settle(self) -> None:
+        for vm in self.vms:
+            vm.paused = False
+            vm.shares.install(self.plans)
+        for _ in range(2):
+            for vm in self.vms:
+                for replica in REPLICAS:
+                    vm.held[replica] = vm.shares.connections(replica)
+                if vm.shares.keeps_to_plan(vm.held.items()):
+                    vm.said = vm.shares.epoch
+            for vm in self.vms:
+                for other in self.vms:
+                    vm.shares.confirm(other.shares.own, other.said)
+
+
+class SeatTest(unittest.TestCase):
+    def test_limit_is_never_exceeded_in_random_runs(self) -> None:
+        for seed in range(60):
+            run = RandomRun(seed)
+            for _ in range(600):
+                run.step()
+            self.assertGreater(run.started, 9)
+
+    def test_all_connections_are_used_once_all_agree(self) -> None:
+        for seed in range(20):
+            run = RandomRun(seed)
+            for _ in range(300):
+                run.step()
+            run.settle()
+            run.settle()
+            for replica in REPLICAS:
+                held = sum(vm.held[replica] for vm in run.vms)
+                self.assertEqual(held, replica.connections, seed)
+
+    def test_paused_vm_keeps_its_old_share_and_a_newcomer_gets_the_rest(self) -> None:
+        replica = Replica("10.1.0.1:80", "dc1", connections=24)
+        seats = tuple(Seat(f"10.0.0.{number}:7000", 1) for number in range(3))
+        first, second = SeatPlan(1, seats[:2]), SeatPlan(2, seats)
+        awake, newcomer = (SeatShares(seat, "dc1", 1) for seat in seats[1:])
+        awake.install(SeatPlans((first,)))
+        self.assertEqual(awake.connections(replica), 12)
+        awake.install(SeatPlans((first, second)))
+        newcomer.install(SeatPlans((first, second)))
+        self.assertEqual((awake.connections(replica), newcomer.connections(replica)), (8, 0))
+        newcomer.confirm(seats[1], 2)
+        self.assertEqual(newcomer.connections(replica), 4)
+        newcomer.confirm(seats[0], 2)
+        self.assertEqual(newcomer.connections(replica), 8)
+
+    def test_of_213_vms_12_share_25_connections(self) -> None:
+        replica = Replica("10.1.0.1:80", "dc1", connections=25)
+        plan = SeatPlan(1, tuple(Seat(f"10.0.{number}.1:7000", 1) for number in range(213)))
+        shares = [share_of(seat, plan, replica, 25) for seat in plan.seats]
+        self.assertEqual(sum(shares), 25)
+        self.assertEqual(sum(share > 0 for share in shares), 12)
+
+    def test_data_centres_share_no_connection(self) -> None:
+        for count in range(1, 6):
+            for connections in (1, 4, 25, 100):
+                replica = Replica("10.1.0.1:80", "dc0", connections=connections)
+                pools = [pool_of(replica, f"dc{number}", count) for number in range(count)]
+                self.assertEqual(sum(pools), connections)
--- a/auburncart/protocol/peer.py
+++ b/auburncart/protocol/peer.py
@@ -22,7 +22,7 @@
     *range(6), 25, *range(28, 31), *range(35, 38), 52, 54, 100, *range(256, 262), 1004, 43000, 55799
 )  # fmt: skip
 
-FACT_PLACES: dict[type[LinkMessage], int] = {Publication: 3, Question: 1, Answer: 1}
+FACT_PLACES: dict[type[LinkMessage], int] = {Publication: 4, Question: 1, Answer: 1}
 FACT_NUMBERS = {kind: number for number, kind in enumerate(FACTS)}
 MESSAGE_NUMBERS = {kind: number for number, kind in enumerate(MESSAGES)}
 
--- a/auburncart/protocol/platform.py
+++ b/auburncart/protocol/platform.py
@@ -19,6 +19,7 @@
     Condition,
     Member,
     Replica,
+    SeatPlans,
     Shard,
     ShardMap,
     TableDocument,
@@ -144,6 +145,13 @@
     return ClaimBucket(int(fields["period"]), {claim.key: claim for claim in claims})
 
 
+def _decode_seats(fields: Any) -> SeatPlans:
+    plans = msgspec.convert(fields, type=SeatPlans)
+    if not plans.plans:
+        raise ValueError("no seat plan")
+    return plans
+
+
 def _decode_archive(fields: Any) -> AuditArchive:
     return msgspec.convert(fields, type=AuditArchive)
 
@@ -156,5 +164,6 @@
     "table": _Codec(_plain, _decode_table),
     "shards": _Codec(_encode_map, _decode_map),
     "claims": _Codec(_encode_claims, _decode_claims),
+    "seats": _Codec(_plain, _decode_seats),
     "audit": _Codec(_plain, _decode_archive),
 }
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -8,6 +8,9 @@
     NoAnswer,
     QueryLoss,
     Roll,
+    SeatAsk,
+    SeatNews,
+    SeatSeen,
     StatusAsk,
     StatusNews,
     TableAsk,
@@ -50,6 +53,7 @@
     SubQuery,
     coverage_of,
 )
+from auburncart.state.seat import Seat, SeatPlan, SeatPlans
 from auburncart.state.shards import Replica, Shard, ShardMap
 from auburncart.state.table import (
     AuditArchive,
@@ -117,6 +121,12 @@
     "Row",
     "SearchAnswer",
     "SearchRequest",
+    "Seat",
+    "SeatAsk",
+    "SeatNews",
+    "SeatPlan",
+    "SeatPlans",
+    "SeatSeen",
     "Shard",
     "ShardAnswer",
     "ShardMap",
--- a/auburncart/state/fact.py
+++ b/auburncart/state/fact.py
@@ -9,6 +9,7 @@
 from auburncart.state.link import Versions
 from auburncart.state.member import Member
 from auburncart.state.order import ClaimQuestion, ClaimReply
+from auburncart.state.seat import Seat, SeatPlans
 from auburncart.state.shards import ShardMap
 from auburncart.state.table import TableDocument
 
@@ -20,6 +21,9 @@
     "NoAnswer",
     "QueryLoss",
     "Roll",
+    "SeatAsk",
+    "SeatNews",
+    "SeatSeen",
     "StatusAsk",
     "StatusNews",
     "TableAsk",
@@ -104,6 +108,25 @@
     lacking: str
 
 
+class SeatAsk(NamedTuple):
+    """Question for seat plans newer than this epoch."""
+
+    version: int
+
+
+class SeatNews(NamedTuple):
+    """The seat plans of the origin's data centre."""
+
+    plans: SeatPlans
+
+
+class SeatSeen(NamedTuple):
+    """A seat holds no more connections than its shares under a plan."""
+
+    seat: Seat
+    epoch: int
+
+
 FACTS: tuple[type[tuple[Any, ...]], ...] = (
     TableNews,
     QueryLoss,
@@ -116,4 +139,7 @@
     Roll,
     StatusAsk,
     StatusNews,
+    SeatAsk,
+    SeatNews,
+    SeatSeen,
 )
--- a/auburncart/transport/tests/test_peer.py
+++ b/auburncart/transport/tests/test_peer.py
@@ -175,6 +175,9 @@
 class CodecTest(unittest.TestCase):
     def test_reference_cycles_and_wrong_facts_are_refused(self) -> None:
         cycle = bytes.fromhex("82d81c81d81d0001")
-        for frame in (cycle, cbor2.dumps([3, ["a", "b", 1, "live"], 1, 3, [1, ["d", 5, True]]])):
+        for frame in (
+            cycle,
+            cbor2.dumps([3, ["a", "b", 1, "live"], 1, 3, False, [1, ["d", 5, True]]]),
+        ):
             with self.assertRaises(ProtocolError):
                 decode_message(frame)
