Wire peers, seats and status into the daemon; table status

A VM with a peer address takes the table, the shard map and the seat plans from its group, is ready only with all three, tells the others when it leaves, and gives its seat back.

The members are sent on a new link only if the first heartbeat's digest differs.

--- a/auburncart/command/table.py
+++ b/auburncart/command/table.py
@@ -16,14 +16,17 @@
 
 from auburncart.coordination import TABLE, Author, Proposal, Store, TableEditor
 from auburncart.coordination.audit import describe, read_history
+from auburncart.coordination.status import status_key
 from auburncart.daemon.entry import start_log
 from auburncart.exception import InputError, TableConflictError
 from auburncart.protocol.table_file import TableFile, format_table, read_table, table_of
+from auburncart.state import CentreStatus, VmStatus
 from auburncart.transport.address import own_address
 from auburncart.transport.store import HttpStore
 
 __all__ = ["app"]
 
+EXIT_BEHIND = 1
 EXIT_CONFLICT = 4
 
 app = App(name="table", help="Show and change the table of weights and limits.")
@@ -120,6 +123,40 @@
     return 0
 
 
+@app.command
+def status(*, platform: Platform, token: Token = "") -> int:
+    """Print which VM has which version in force, one VM a line.
+
+    Each data centre reports its own VMs; the age of the report is on its line. Exit code 1: some
+    VM does not have the stored version in force.
+    """
+    stored, centres = _run(HttpStore(platform, token), _status)
+    version = stored.value.table.version if stored else 0
+    sys.stdout.write(f"the store holds version {version}\n")
+    behind = False
+    for centre in centres:
+        sys.stdout.write(f"{centre.data_centre}: reported {time.time() - centre.when:.0f} s ago\n")
+        for vm in centre.vms:
+            behind = behind or vm.versions is None or vm.versions.table < version
+            sys.stdout.write(f"  {_status_line(vm)}\n")
+    return EXIT_BEHIND if behind else 0
+
+
+def _status_line(vm: VmStatus) -> str:
+    member = vm.member
+    known = vm.versions
+    versions = f"table {known.table}, shards {known.shards}" if known else "no answer"
+    lacking = f" ({vm.lacking})" if vm.lacking else ""
+    return f"{member.address} {member.condition.value}: {versions}{lacking}"
+
+
+async def _status(store: Store) -> tuple[Any, list[CentreStatus]]:
+    stored = await store.read(TABLE)
+    names = sorted({member.data_centre for member in await store.members()})
+    found = [await store.read(status_key(name)) for name in names]
+    return stored, [one.value for one in found if one is not None]
+
+
 async def _history(store: Store, limit: int) -> list[Any]:
     stored = await store.read(TABLE)
     return await read_history(store, stored.value, limit) if stored else []
--- a/auburncart/coordination/fleet.py
+++ b/auburncart/coordination/fleet.py
@@ -26,8 +26,21 @@
         return self._upstreams.get(address)
 
     def candidates(self, shard: Shard) -> list[Upstream]:
-        """Return the upstreams that hold a shard; those not known yet are made."""
-        return [self._of(replica) for replica in shard.replicas]
+        """Return the upstreams that hold a shard; those not known yet are made.
+
+        Those to which this VM may hold no connection are left out if there are others.
+        """
+        held = [self._of(replica) for replica in shard.replicas]
+        return [upstream for upstream in held if upstream.reachable] or held
+
+    def adjust(self) -> None:
+        """See that the connections held follow a change of their limits."""
+        for upstream in self:
+            upstream.adjust()
+
+    def held(self) -> list[tuple[Replica, int]]:
+        """Return the number of connections held to each replica."""
+        return [(upstream.replica, upstream.connections) for upstream in self]
 
     async def retain(self, shard_map: ShardMap) -> None:
         """Close the upstreams that a shard map names no more and that are idle."""
--- a/auburncart/coordination/group.py
+++ b/auburncart/coordination/group.py
@@ -1,24 +1,29 @@
 """One VM's part in the tier: its membership, its links, and what it keeps in force with peers."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Any
 
 from auburncart.coordination.catalogue import Catalogue
+from auburncart.coordination.fleet import Fleet
 from auburncart.coordination.handshake import KeyRing
 from auburncart.coordination.interfaces import PeerDialer, PeerLink, Store
 from auburncart.coordination.membership import Roster
 from auburncart.coordination.observer import Observer
 from auburncart.coordination.overlay import Overlay
 from auburncart.coordination.peers import LinkListener, Peers
-from auburncart.coordination.spread import MapSubject, Spread, TableSubject, is_reader
+from auburncart.coordination.seating import Seating
+from auburncart.coordination.seats import SeatShares
+from auburncart.coordination.spread import MapSubject, SeatSubject, Spread, TableSubject, is_reader
+from auburncart.coordination.status import Reporter
 from auburncart.coordination.table import TableKeeper
 from auburncart.exception import StoreUnavailableError
 from auburncart.state import (
     Condition,
     Heartbeat,
     Member,
-    StatusAsk,
+    SeatPlans,
     StatusNews,
     Versions,
 )
@@ -26,6 +31,7 @@
 __all__ = ["Group"]
 
 LIST_SECONDS = 5.0
+GIVE_BACK_SECONDS = 1.0
 FAREWELL_SECONDS = 0.2
 
 
@@ -40,6 +46,7 @@
     :param tables: the table in force.
     :param catalogue: the shard map in force.
     :param seed: seed of random choices and waits.
+    :param epoch: seconds since the epoch at loop time 0.
     """
 
     def __init__(
@@ -53,8 +60,10 @@
         catalogue: Catalogue,
         observer: Observer,
         seed: int,
+        epoch: float = 0.0,
     ) -> None:
         self._store = store
+        self._seed = seed
         self._roster = Roster(own)
         self._roster.hints.update(set(seeds) - {own.address})
         self._peers = Peers(lambda: self._roster.own, self._heartbeat, dialer, keys, observer)
@@ -64,8 +73,18 @@
         common = (store, self._roster, self._peers, self._peers.beat, observer, seed)
         self._table_spread = Spread(self._tables, *common)
         self._shard_spread = Spread(self._shards, *common)
+        self._common = common
+        self._seat_spread: Spread[SeatPlans] | None = None
+        self._seating: Seating | None = None
+        self._shares: SeatShares | None = None
         self._peers.attach(self)
-        self._peers.serve(StatusAsk, self._answer_status)
+        self._reporter = Reporter(
+            store,
+            self._roster,
+            self._peers,
+            lambda: StatusNews(self.versions, self.ready, self.lacking),
+            lambda: epoch + asyncio.get_running_loop().time(),
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -81,7 +100,8 @@
     @property
     def versions(self) -> Versions:
         """What is in force on this VM."""
-        return Versions(self._tables.version, self._shards.version)
+        seats = self._shares.epoch if self._shares else 0
+        return Versions(self._tables.version, self._shards.version, seats)
 
     @property
     def lacking(self) -> str:
@@ -91,6 +111,8 @@
             for subject in (self._tables, self._shards)
             if subject.version == 0
         ]
+        if self._shares is not None and not self._shares.seated:
+            lacks.append("no seat among those that share the upstreams' connections")
         return "; ".join(lacks)
 
     @property
@@ -103,6 +125,25 @@
         """Whether this VM watches the store for its data centre."""
         return is_reader(self._roster)
 
+    def share_connections(self, shares: SeatShares, fleet: Fleet) -> None:
+        """Take part in sharing the upstreams' connections; called before :meth:`start`.
+
+        :param shares: this VM's shares, the limit of the fleet's connections.
+        """
+        self._shares = shares
+        subject = SeatSubject(shares, self._roster.own.data_centre)
+        self._seat_spread = Spread(subject, *self._common)
+        self._seating = Seating(
+            shares,
+            self._store,
+            self._roster,
+            self._peers,
+            fleet.held,
+            fleet.adjust,
+            self._seat_spread.offer,
+            self._seed,
+        )
+
     async def accept(self, link: PeerLink) -> None:
         """Serve a link that another VM opened."""
         await self._peers.accept(link)
@@ -111,6 +152,9 @@
         """Ask for whatever is newer on the other side."""
         self._table_spread.announced(heartbeat.versions.table, member)
         self._shard_spread.announced(heartbeat.versions.shards, member)
+        near = member.data_centre == self._roster.own.data_centre
+        if self._seat_spread is not None and near:
+            self._seat_spread.announced(heartbeat.versions.seats, member)
 
     def start(self) -> None:
         """Begin, each concern in a task of its own."""
@@ -118,11 +162,17 @@
             "heartbeats": self._peers.run,
             "overlay": self._overlay.run,
             "platform list": self._list,
+            "status": self._reporter.run,
             "table read": self._table_spread.read,
             "table pull": self._table_spread.pull,
             "shards read": self._shard_spread.read,
             "shards pull": self._shard_spread.pull,
         }
+        if self._seating is not None and self._seat_spread is not None:
+            concerns["seat"] = self._seating.keep
+            concerns["seat confirm"] = self._seating.confirm
+            concerns["seat read"] = self._seat_spread.read
+            concerns["seat pull"] = self._seat_spread.pull
         for name, run in concerns.items():
             self._tasks.append(asyncio.create_task(run(), name=name))
 
@@ -131,7 +181,14 @@
         self._roster.leave(Condition.LEAVING)
 
     async def stop(self) -> None:
-        """Tell all VMs that this one has ended, and end all links."""
+        """Tell all VMs that this one has ended, and end all links.
+
+        The connections to upstreams are closed by now.
+        """
+        if self._seating is not None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(GIVE_BACK_SECONDS):
+                    await self._seating.give_back()
         self._roster.leave(Condition.ENDED)
         await asyncio.sleep(FAREWELL_SECONDS)
         for task in self._tasks:
@@ -148,8 +205,5 @@
                     await asyncio.sleep(LIST_SECONDS)
             await asyncio.sleep(LIST_SECONDS)
 
-    async def _answer_status(self, question: StatusAsk, origin: Member) -> StatusNews:
-        return StatusNews(self.versions, self.ready, self.lacking)
-
     def _heartbeat(self) -> Heartbeat:
         return Heartbeat(self.versions, self._roster.digest)
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import uuid
+from collections.abc import Callable
 
 from auburncart.coordination.backoff import Backoff
 from auburncart.coordination.catalogue import Catalogue
@@ -54,6 +55,7 @@
         self._catalogue = Catalogue()
         self._tables = TableKeeper()
         policies.admission.follow(self._tables, self._catalogue)
+        self._requirements: list[Callable[[], bool]] = []
         self._drain = Drain(self._prepared)
         self._fleet = Fleet(self._make_upstream)
         self._searches = SearchService(
@@ -109,13 +111,22 @@
         """The service that carries out orders."""
         return self._orders
 
+    def require(self, check: Callable[[], bool]) -> None:
+        """Count as ready only while ``check()`` is true as well."""
+        self._requirements.append(check)
+
     async def wait_until_ready(self) -> None:
         """Wait for the first table and the first shard map."""
         await self._tables.wait()
         await self._catalogue.wait()
 
-    def start(self) -> None:
-        """Begin to follow the store, each object in a task of its own."""
+    def start(self, *, alone: bool = True) -> None:
+        """Begin to follow the store, each object in a task of its own.
+
+        :param alone: False if a :class:`Group` keeps the table and the shard map up to date.
+        """
+        if not alone:
+            return
         tables = self._tables.follow(self._store, random.Random(f"{self._name}/table"))
         shards = self._catalogue.follow(self._store, random.Random(f"{self._name}/shards"))
         self._tasks.append(asyncio.create_task(tables, name="table"))
@@ -131,7 +142,8 @@
         await self._fleet.close()
 
     def _prepared(self) -> bool:
-        return self._tables.table is not None and self._catalogue.current is not None
+        in_force = self._tables.table is not None and self._catalogue.current is not None
+        return in_force and all(check() for check in self._requirements)
 
     def _make_orders(self, epoch: float) -> OrderService:
         process = f"{self._name}/{uuid.uuid4().hex[:12]}"
--- a/auburncart/coordination/overlay.py
+++ b/auburncart/coordination/overlay.py
@@ -83,9 +83,10 @@
         roster.bind(self._schedule)
 
     def link_opened(self, member: Member) -> None:
-        """Exchange all that is believed with the other side."""
+        """Let the first heartbeat tell whether the two sides believe the same."""
         self._roster.heard(member)
-        self._send_roll(member.address)
+        self._mismatches[member.address] = MISMATCHES
+        self._rolled.pop(member.address, None)
 
     def link_closed(self, member: Member, goodbye: bool) -> None:
         """See whether the other side still answers, unless it said goodbye."""
@@ -94,13 +95,13 @@
             self._verify.add(member.address)
 
     def heard(self, member: Member, heartbeat: Heartbeat) -> None:
-        """Exchange all that is believed if the two sides differ for long."""
+        """Send all that is believed if the two sides differ at first or for long."""
         if heartbeat.digest == self._roster.digest:
             self._mismatches.pop(member.address, None)
             return
         count = self._mismatches.get(member.address, 0) + 1
         self._mismatches[member.address] = count
-        since = self._now() - self._rolled.get(member.address, 0.0)
+        since = self._now() - self._rolled.get(member.address, -ROLL_SECONDS)
         if count >= MISMATCHES and since >= ROLL_SECONDS:
             self._send_roll(member.address)
 
--- a/auburncart/coordination/seating.py
+++ b/auburncart/coordination/seating.py
@@ -7,15 +7,15 @@
 from eliot import log_message
 
 from auburncart.coordination.backoff import Backoff
-from auburncart.coordination.interfaces import Key, Store
+from auburncart.coordination.interfaces import Store
 from auburncart.coordination.membership import Roster
 from auburncart.coordination.peers import Peers
-from auburncart.coordination.seats import SeatShares
+from auburncart.coordination.seats import SeatShares, seats_key
 from auburncart.coordination.spread import is_reader
 from auburncart.exception import StoreConflictError, StoreUnavailableError
 from auburncart.state import Condition, Member, Replica, Seat, SeatPlan, SeatPlans, SeatSeen
 
-__all__ = ["Seating", "seats_key"]
+__all__ = ["Seating"]
 
 TICK_SECONDS = 0.2
 REPEAT_SECONDS = 5.0
@@ -23,11 +23,6 @@
 MOST_PLANS = 64
 
 
-def seats_key(data_centre: str) -> Key[SeatPlans]:
-    """Return the key of a data centre's seat plans."""
-    return Key("seats", data_centre)
-
-
 class Seating:
     """Keeps this VM's seat.
 
@@ -57,6 +52,7 @@
         self._learnt = learnt
         self._key = seats_key(roster.own.data_centre)
         self._random = random.Random(f"{seed} seats")
+        self._leaving = False
         self._said = 0
         self._said_at = 0.0
         peers.subscribe(SeatSeen, self._heard)
@@ -77,7 +73,7 @@
     async def keep(self) -> None:
         """Take a seat, and as a reader reclaim those of ended VMs; runs until cancelled."""
         backoff = Backoff(self._random)
-        while True:
+        while not self._leaving:
             try:
                 if not self._shares.seated:
                     await self._change(self._shares.own, ())
@@ -90,6 +86,7 @@
 
     async def give_back(self) -> None:
         """Free this VM's seat; all its connections are closed by now."""
+        self._leaving = True
         try:
             await self._change(None, (self._shares.own,))
         except (StoreUnavailableError, StoreConflictError) as error:
@@ -109,10 +106,9 @@
         return tuple(seat for seat in seats if self._has_ended(seat))
 
     def _has_ended(self, seat: Seat) -> bool:
+        # A newer process at the same address takes the seat over by itself.
         member = self._roster.find(seat.address)
-        if member is None or seat == self._shares.own:
-            return False
-        return member.incarnation > seat.incarnation or member.condition is Condition.ENDED
+        return member is not None and member.condition is Condition.ENDED
 
     async def _change(self, joining: Seat | None, leaving: tuple[Seat, ...]) -> None:
         stored = await self._store.read(self._key)
--- a/auburncart/coordination/seats.py
+++ b/auburncart/coordination/seats.py
@@ -3,8 +3,8 @@
 Each VM computes from a seat plan how many connections each seat may hold to a replica. A VM may
 keep what it has up to its share of the newest plan that it knows. It may take more only as far
 as the limit leaves room beside the largest share that each other seat had in any plan from the
-one that seat last confirmed up to the newest. A seat confirms a plan once it holds no more than
-its share of it.
+one that seat last confirmed up to the newest, and not at all while another seat has confirmed a
+plan that it does not know. A seat confirms a plan once it holds no more than its share of it.
 
 Notes
 -----
@@ -17,15 +17,21 @@
 
 import xxhash
 
+from auburncart.coordination.interfaces import Key
 from auburncart.coordination.limits import ConnectionLimit
 from auburncart.state import Replica, Seat, SeatPlan, SeatPlans
 
-__all__ = ["SeatShares", "pool_of", "share_of"]
+__all__ = ["SeatShares", "pool_of", "seats_key", "share_of"]
 
 LEAST_CONNECTIONS = 2  # each VM that may talk to a replica holds up to this many or more
 FAR_PART = 5  # one part in this many of a replica's connections is for other data centres
 
 
+def seats_key(data_centre: str) -> Key[SeatPlans]:
+    """Return the key of a data centre's seat plans."""
+    return Key("seats", data_centre)
+
+
 def pool_of(replica: Replica, data_centre: str, data_centres: int) -> int:
     """Return how many of a replica's connections the VMs of a data centre share.
 
--- a/auburncart/coordination/spread.py
+++ b/auburncart/coordination/spread.py
@@ -13,6 +13,7 @@
 from auburncart.coordination.mailbox import Mailbox
 from auburncart.coordination.observer import Observer
 from auburncart.coordination.rendezvous import top
+from auburncart.coordination.seats import SeatShares, seats_key
 from auburncart.coordination.table import TABLE, TableKeeper
 from auburncart.exception import LinkError, StoreUnavailableError
 from auburncart.state import (
@@ -20,13 +21,16 @@
     MapNews,
     Member,
     NoAnswer,
+    SeatAsk,
+    SeatNews,
+    SeatPlans,
     ShardMap,
     TableAsk,
     TableDocument,
     TableNews,
 )
 
-__all__ = ["MapSubject", "Spread", "Subject", "TableSubject", "is_reader"]
+__all__ = ["MapSubject", "SeatSubject", "Spread", "Subject", "TableSubject", "is_reader"]
 
 READERS = 2
 WATCH_SECONDS = 20.0
@@ -144,6 +148,39 @@
         return fact.shard_map if isinstance(fact, MapNews) else None
 
 
+class SeatSubject(Subject[SeatPlans]):
+    """The seat plans of this VM's data centre."""
+
+    name = "seats"
+    ask = SeatAsk
+
+    def __init__(self, shares: SeatShares, data_centre: str) -> None:
+        self._shares = shares
+        self.key = seats_key(data_centre)
+
+    @property
+    def version(self) -> int:
+        """Epoch of the newest plan."""
+        return self._shares.epoch
+
+    def install(self, value: SeatPlans) -> bool:
+        """Act by newer plans."""
+        return self._shares.install(value)
+
+    def version_of(self, value: SeatPlans) -> int:
+        """Return the epoch of the newest of some plans."""
+        return value.newest.epoch
+
+    def news(self) -> tuple[Any, ...]:
+        """Return the plans known."""
+        plans = self._shares.plans
+        return SeatNews(plans) if plans else NoAnswer("no seat plan")
+
+    def value_in(self, fact: tuple[Any, ...]) -> SeatPlans | None:
+        """Return the plans that a fact carries."""
+        return fact.plans if isinstance(fact, SeatNews) else None
+
+
 class Spread(Generic[T]):
     """Keeps one subject up to date on this VM.
 
@@ -172,6 +209,10 @@
         self._etag = ""
         bus.serve(subject.ask, self._answer)
 
+    def offer(self, value: T) -> None:
+        """Put a value in force that this VM itself wrote or read."""
+        self._take(value, "own")
+
     def announced(self, version: int, member: Member) -> None:
         """Take in that a version is in force on another VM."""
         if version > self._subject.version:
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -122,6 +122,19 @@
         """Condition that the upstream last reported of itself."""
         return self._condition
 
+    @property
+    def reachable(self) -> bool:
+        """Whether this VM may hold a connection to it now."""
+        return self._limit.connections(self._replica) > 0
+
+    def adjust(self) -> None:
+        """Close idle connections above the limit, or open one for waiting work below it."""
+        allowed = self._limit.connections(self._replica)
+        for _ in range(min(self.connections - allowed, len(self._idle))):
+            self._idle.popleft().cancel()
+        if self.waiting and self.connections < allowed:
+            self._open()
+
     def submit(self, job: Job) -> None:
         """Put a job into the queue and see that a connection takes it."""
         self._queues[job.rank].append(job)
--- a/auburncart/daemon/entry.py
+++ b/auburncart/daemon/entry.py
@@ -11,9 +11,11 @@
 from auburncart.coordination import Node
 from auburncart.coordination.gate import EveryRankGate, OneRankGate, RankGate
 from auburncart.coordination.policies import Policies, default_policies
+from auburncart.coordination.seats import SeatShares
 from auburncart.coordination.shutdown import Shutdown, ShutdownTimes
+from auburncart.daemon.peering import Peering, make_group
 from auburncart.settings import EntrySettings
-from auburncart.state import Rank
+from auburncart.state import Rank, Seat
 from auburncart.transport.loop import LoopBridge
 from auburncart.transport.metrics import MetricsObserver
 from auburncart.transport.store import HttpStore
@@ -36,6 +38,10 @@
         self._settings = settings
         self._metrics = MetricsObserver()
         self._store = HttpStore(settings.platform_address, settings.platform_token)
+        self._epoch = time.time() - asyncio.get_running_loop().time()
+        self._incarnation = int(time.time() * 1000)
+        self._shares = self._make_shares()
+        self._peering: Peering | None = None
         self._node = Node(
             settings.name,
             settings.data_centre,
@@ -43,8 +49,9 @@
             HttpUpstreamDialer(),
             self._make_policies(),
             self._metrics,
-            epoch=time.time() - asyncio.get_running_loop().time(),
+            epoch=self._epoch,
         )
+        self._peering = self._make_peering()
         self._ports = CallerPorts(())
         self._shutdown: Shutdown | None = None
 
@@ -64,7 +71,9 @@
 
     async def start(self) -> None:
         """Follow the store and serve callers."""
-        self._node.start()
+        self._node.start(alone=self._peering is None)
+        if self._peering is not None:
+            await self._peering.start()
         bridge = LoopBridge(asyncio.get_running_loop())
         settings = self._settings
         ports = (
@@ -104,6 +113,8 @@
         """Stop serving at once, then end every connection."""
         await self._ports.stop()
         await self._node.stop()
+        if self._peering is not None:
+            await self._peering.stop()
         self._store.close()
 
     def _make_application(self, bridge: LoopBridge, gate: RankGate) -> CallerApplication:
@@ -119,9 +130,37 @@
         )
 
     def _make_policies(self) -> Policies:
-        return default_policies(
-            self._settings.connecting_vms, seed=zlib.crc32(self._settings.name.encode())
+        policies = default_policies(
+            self._settings.connecting_vms, self._sharing, seed=_seed(self._settings)
         )
+        return policies._replace(limit=self._shares) if self._shares else policies
+
+    def _make_shares(self) -> SeatShares | None:
+        settings = self._settings
+        if not settings.peer_address:
+            return None
+        seat = Seat(settings.peer_address, self._incarnation)
+        return SeatShares(seat, settings.data_centre, settings.data_centres)
+
+    def _make_peering(self) -> Peering | None:
+        if self._shares is None:
+            return None
+        group = make_group(
+            self._settings, self._incarnation, self._store, self._node, self._metrics, self._epoch
+        )
+        group.share_connections(self._shares, self._node.fleet)
+        self._node.drain.when_leaving(group.leave)
+        self._node.require(lambda: group.ready)
+        return Peering(group, self._settings.peer_address)
+
+    def _sharing(self) -> int:
+        if self._peering is None:
+            return self._settings.connecting_vms
+        return self._peering.group.membership.possible(self._settings.data_centre)
+
+
+def _seed(settings: EntrySettings) -> int:
+    return zlib.crc32(settings.name.encode())
 
 
 def start_log(log_file: str) -> None:
--- a/auburncart/protocol/document.py
+++ b/auburncart/protocol/document.py
@@ -11,6 +11,7 @@
 __all__ = ["faults_of", "parse_document", "parse_json", "read_document", "read_text"]
 
 T = TypeVar("T")
+SECRET_WORDS = ("key", "token")
 
 
 def read_document(path: Path, form: type[T]) -> T:
@@ -69,8 +70,12 @@
     return tuple(_fault(source, dict(entry)) for entry in error.errors(include_url=False))
 
 
+def _is_secret(entry: dict[str, Any]) -> bool:
+    return any(word in str(part) for part in entry["loc"] for word in SECRET_WORDS)
+
+
 def _fault(source: str, entry: dict[str, Any]) -> str:
     path = ".".join(str(part) for part in entry["loc"]) or "document"
-    found = repr(entry["input"])
+    found = "a value not shown" if _is_secret(entry) else repr(entry["input"])
     shown = found if len(found) <= 80 else found[:77] + "..."
     return f"{source}: {path}: found {shown}, {entry['msg']}"
--- a/auburncart/protocol/platform.py
+++ b/auburncart/protocol/platform.py
@@ -14,6 +14,7 @@
 from auburncart.exception import ProtocolError
 from auburncart.state import (
     AuditArchive,
+    CentreStatus,
     Claim,
     ClaimBucket,
     Condition,
@@ -152,6 +153,10 @@
     return plans
 
 
+def _decode_status(fields: Any) -> CentreStatus:
+    return msgspec.convert(fields, type=CentreStatus)
+
+
 def _decode_archive(fields: Any) -> AuditArchive:
     return msgspec.convert(fields, type=AuditArchive)
 
@@ -164,6 +169,7 @@
     "table": _Codec(_plain, _decode_table),
     "shards": _Codec(_encode_map, _decode_map),
     "claims": _Codec(_encode_claims, _decode_claims),
+    "status": _Codec(_plain, _decode_status),
     "seats": _Codec(_plain, _decode_seats),
     "audit": _Codec(_plain, _decode_archive),
 }
--- a/auburncart/settings/entry.py
+++ b/auburncart/settings/entry.py
@@ -1,10 +1,11 @@
 """Settings of the daemon on an entry VM."""
 
 from pathlib import Path
-from typing import Annotated, NamedTuple
+from typing import Annotated, Literal, NamedTuple
 
 from pydantic import Field
 
+from auburncart.exception import SettingsError
 from auburncart.protocol.document import read_document
 
 __all__ = ["EntrySettings", "load_entry_settings"]
@@ -12,6 +13,7 @@
 Address = Annotated[str, Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Count = Annotated[int, Field(ge=1)]
+Secret = Annotated[str, Field(min_length=16, max_length=200)]
 Seconds = Annotated[float, Field(ge=0.0, le=3600.0)]
 
 
@@ -31,6 +33,10 @@
     :param balancer_lag_seconds: time in which the balancer still sends requests to this VM after
         ``/v1/ready`` says 503.
     :param shutdown_seconds: most time after that for the requests in flight.
+    :param peer_address: ``"IP:port"`` on which other entry VMs reach this one, ``""`` for none.
+    :param peer_seeds: addresses of some other entry VMs, beside the platform's list.
+    :param peer_keys: keys that entry VMs prove to each other; the first is proved, each is taken.
+    :param data_centres: number of data centres with entry VMs, the same on all of them.
     :param log_file: file for eliot's log, ``"-"`` for standard error, ``""`` for none.
     """
 
@@ -46,12 +52,26 @@
     connecting_vms: Count = 9
     balancer_lag_seconds: Seconds = 5.0
     shutdown_seconds: Seconds = 30.0
+    peer_address: Address | Literal[""] = ""
+    peer_seeds: tuple[Address, ...] = ()
+    peer_keys: Annotated[tuple[Secret, ...], Field(max_length=2)] = ()
+    data_centres: Count = 1
     log_file: str = "-"
 
+    def __repr__(self) -> str:
+        hidden = {"platform_token": "...", "peer_keys": f"{len(self.peer_keys)} keys"}
+        shown = {**self._asdict(), **hidden}
+        fields = ", ".join(f"{name}={value!r}" for name, value in shown.items())
+        return f"EntrySettings({fields})"
+
 
 def load_entry_settings(path: Path) -> EntrySettings:
     """Read and check an entry VM's settings.
 
     :raises SettingsError: the file has faults; all of them are named.
     """
-    return read_document(path, EntrySettings)
+    settings = read_document(path, EntrySettings)
+    if settings.peer_address and not settings.peer_keys:
+        fault = f"{path}: peer_keys: found none, expected one or two beside peer_address"
+        raise SettingsError(fault, faults=(fault,))
+    return settings
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -55,6 +55,7 @@
 )
 from auburncart.state.seat import Seat, SeatPlan, SeatPlans
 from auburncart.state.shards import Replica, Shard, ShardMap
+from auburncart.state.status import CentreStatus, VmStatus
 from auburncart.state.table import (
     AuditArchive,
     AuditEntry,
@@ -79,6 +80,7 @@
     "AuditEntry",
     "Batch",
     "BatchReply",
+    "CentreStatus",
     "Claim",
     "ClaimBucket",
     "ClaimChange",
@@ -142,6 +144,7 @@
     "UpstreamOrder",
     "Verdict",
     "Versions",
+    "VmStatus",
     "Work",
     "coverage_of",
     "find_row",
--- /dev/null
+++ b/auburncart/state/status.py
@@ -0,0 +1,36 @@
+"""What is in force on the VMs of a data centre, as the operators see it."""
+
+from typing import NamedTuple
+
+from auburncart.state.link import Versions
+from auburncart.state.member import Member
+
+__all__ = ["CentreStatus", "VmStatus"]
+
+
+class VmStatus(NamedTuple):
+    """One VM.
+
+    :param member: the VM with its condition.
+    :param versions: what is in force on it, None if it gave no answer.
+    :param lacking: what it lacks to be ready, ``""`` if nothing.
+    """
+
+    member: Member
+    versions: Versions | None
+    lacking: str
+
+
+class CentreStatus(NamedTuple):
+    """The VMs of one data centre.
+
+    :param data_centre: the data centre.
+    :param when: seconds since the epoch.
+    :param reporter: address of the VM that asked the others.
+    :param vms: the VMs by address.
+    """
+
+    data_centre: str
+    when: float
+    reporter: str
+    vms: tuple[VmStatus, ...]
