Table commands print named fields; status finds data centres from the shard map too

Cause, seen in a run with three processes on loopback: status was empty where the platform's list of VMs is, and rows were printed as bare arrays.

--- a/auburncart/command/table.py
+++ b/auburncart/command/table.py
@@ -14,12 +14,19 @@
 import msgspec
 from cyclopts import App, Parameter
 
-from auburncart.coordination import TABLE, Author, Proposal, Store, TableEditor
+from auburncart.coordination import SHARD_MAP, TABLE, Author, Proposal, Store, TableEditor
 from auburncart.coordination.audit import describe, read_history
 from auburncart.coordination.status import status_key
 from auburncart.daemon.entry import start_log
 from auburncart.exception import InputError, TableConflictError
-from auburncart.protocol.table_file import TableFile, format_table, read_table, table_of
+from auburncart.protocol.table_file import (
+    TableFile,
+    format_table,
+    plain_entry,
+    plain_table,
+    read_table,
+    table_of,
+)
 from auburncart.state import CentreStatus, VmStatus
 from auburncart.transport.address import own_address
 from auburncart.transport.store import HttpStore
@@ -38,7 +45,7 @@
 def show(*, platform: Platform, token: Token = "") -> int:
     """Print the table that the store holds as JSON, ``null`` if there is none."""
     stored = _run(HttpStore(platform, token), lambda store: store.read(TABLE))
-    table = stored.value.table if stored else None
+    table = plain_table(stored.value.table) if stored else None
     sys.stdout.write(msgspec.json.encode(table).decode() + "\n")
     return 0
 
@@ -119,7 +126,7 @@
     """
     entries = _run(HttpStore(platform, token), lambda store: _history(store, limit))
     for entry in entries:
-        sys.stdout.write(msgspec.json.encode(entry._asdict()).decode() + "\n")
+        sys.stdout.write(msgspec.json.encode(plain_entry(entry)).decode() + "\n")
     return 0
 
 
@@ -146,14 +153,21 @@
     member = vm.member
     known = vm.versions
     versions = f"table {known.table}, shards {known.shards}" if known else "no answer"
-    lacking = f" ({vm.lacking})" if vm.lacking else ""
+    lacking = f" ({vm.lacking})" if known and vm.lacking else ""
     return f"{member.address} {member.condition.value}: {versions}{lacking}"
 
 
 async def _status(store: Store) -> tuple[Any, list[CentreStatus]]:
     stored = await store.read(TABLE)
-    names = sorted({member.data_centre for member in await store.members()})
-    found = [await store.read(status_key(name)) for name in names]
+    names = {member.data_centre for member in await store.members()}
+    shards = await store.read(SHARD_MAP)
+    if shards is not None:
+        names |= {
+            replica.data_centre
+            for shard in shards.value.shards.values()
+            for replica in shard.replicas
+        }
+    found = [await store.read(status_key(name)) for name in sorted(names)]
     return stored, [one.value for one in found if one is not None]
 
 
--- a/auburncart/protocol/table_file.py
+++ b/auburncart/protocol/table_file.py
@@ -16,9 +16,18 @@
 from auburncart.coordination.audit import stored_size
 from auburncart.exception import SettingsError
 from auburncart.protocol.document import faults_of, parse_json, read_text
-from auburncart.state import Rank, Row, Table
-
-__all__ = ["RowFile", "TableFile", "format_table", "parse_table", "read_table", "table_of"]
+from auburncart.state import AuditEntry, Rank, Row, Table
+
+__all__ = [
+    "RowFile",
+    "TableFile",
+    "format_table",
+    "plain_entry",
+    "plain_table",
+    "parse_table",
+    "read_table",
+    "table_of",
+]
 
 MAX_TABLE_BYTES = 250_000
 FORMATS = ("json", "csv")
@@ -101,6 +110,18 @@
     return _format_csv(table) if form == "csv" else _format_json(table)
 
 
+def plain_table(table: Table) -> dict[str, Any]:
+    """Return a table as plain data with named fields."""
+    return {**table._asdict(), "rows": [_plain_row(row) for row in table.rows]}
+
+
+def plain_entry(entry: AuditEntry) -> dict[str, Any]:
+    """Return an audit entry as plain data with named fields."""
+    before = [_plain_row(row) for row in entry.before]
+    after = [_plain_row(row) for row in entry.after]
+    return {**entry._asdict(), "before": before, "after": after}
+
+
 def _whole_faults(fields: Any, written: TableFile | None) -> list[str]:
     faults = []
     if isinstance(fields, Mapping):
