--- /dev/null
+++ b/auburncart/command/bench.py
@@ -0,0 +1,114 @@
+"""``auburncart bench``: measurements."""
+
+import asyncio
+import sys
+
+import msgspec
+from cyclopts import App
+
+from auburncart.bench.cases import CASES
+from auburncart.bench.concurrency import measure_loop, measure_threads
+from auburncart.bench.load import Stream, run_load
+from auburncart.bench.measure import RunFigures
+from auburncart.bench.report import run_table
+from auburncart.bench.run import run_case
+from auburncart.bench.site import load_site
+from auburncart.bench.tier import POLICIES
+from auburncart.exception import InputError
+
+__all__ = ["app"]
+
+DEFAULT_SECONDS = 10.0
+
+app = App(name="bench", help="Measure the decisions of the tier.")
+
+
+@app.command
+def run(
+    *,
+    site: str = "ladera",
+    case: str = "calm",
+    policies: str = "baseline",
+    seed: int = 1,
+    seconds: float = DEFAULT_SECONDS,
+    json: bool = False,
+) -> int:
+    """Run one case on virtual time over the real decisions, and print its figures.
+
+    :param site: ``ladera``, ``leidslurett`` or a file of the same form.
+    :param case: name of a case, or several joined by ``+``; ``bench cases`` lists them.
+    :param policies: a set of policies, or ``both`` for all of them one below the other.
+    :param seed: seed of arrivals, service times and faults; the same seed gives the same figures.
+    :param seconds: measured time in virtual seconds, after one second of warm-up.
+    :param json: print one JSON array in place of the table.
+    """
+    loaded = load_site(site)
+    names = tuple(POLICIES) if policies == "both" else (policies,)
+    results = [run_case(loaded, case, name, seed, seconds) for name in names]
+    _print([result.figures for result in results], json)
+    return 0
+
+
+@app.command
+def concurrency(
+    *, to: str, shard: str, connections: int = 8, count: int = 1000, repeat: int = 3
+) -> int:
+    """Compare one loop with a thread for each connection to threads throughout.
+
+    :param to: ``IP:port`` of an upstream on loopback, such as ``auburncart standin upstream``.
+    :param shard: a shard that it holds.
+    :param connections: kept connections.
+    :param count: sub-queries in a run.
+    :param repeat: runs of each way, in turns.
+    """
+    for _ in range(repeat):
+        for measure in (measure_loop, measure_threads):
+            cost = measure(to, shard, connections, count)
+            figures = f"{cost.processor_ms:.3f} ms processor time, {cost.wall_ms:.3f} ms each"
+            print(f"{cost.way:<8} {cost.sub_queries} sub-queries: {figures}")
+    return 0
+
+
+@app.command
+def load(stream: list[str], *, seconds: float = 5.0, seed: int = 1, json: bool = False) -> int:
+    """Send searches to running entry VMs at given rates and print what came of them.
+
+    :param stream: ``IP:port,CUSTOMER,KIND,RATE,DEADLINE_MS``, one for each kind of work.
+    :param seconds: time in which requests arrive.
+    :param seed: seed of the arrival times.
+    :param json: print one JSON array in place of the lines.
+    """
+    figures = asyncio.run(run_load([_stream(text) for text in stream], seconds, seed))
+    if json:
+        sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
+        return 0
+    for found in figures:
+        times = f"p50 {found.p50_ms:.1f}, p99 {found.p99_ms:.1f}, longest {found.longest_ms:.1f} ms"
+        print(f"{found.stream.kind}: {found.offered} offered, {found.in_time:.2%} in time; {times}")
+        print(f"  {found.outcomes}")
+    return 0
+
+
+def _stream(text: str) -> Stream:
+    parts = text.split(",")
+    try:
+        address, customer, kind, rate, deadline_ms = parts
+        return Stream(address, customer, kind, float(rate), int(deadline_ms))
+    except ValueError as error:
+        expected = "expected IP:port,CUSTOMER,KIND,RATE,DEADLINE_MS"
+        raise InputError(f"stream {text!r}: {expected}", step="parse") from error
+
+
+@app.command
+def cases() -> int:
+    """List the cases."""
+    for name, case in CASES.items():
+        print(f"{name:<28}{(type(case).__doc__ or '').splitlines()[0]}")
+    return 0
+
+
+def _print(figures: list[RunFigures], json: bool) -> None:
+    if json:
+        sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
+    else:
+        sys.stdout.write(run_table(figures))
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -168,4 +168,6 @@
             limit=self._policies.limit,
             quarantine=self._policies.quarantine,
             observer=self._observer,
+            pressure=self._policies.pressure(),
+            redialing=self._policies.redialing,
         )
--- a/auburncart/coordination/quarantine.py
+++ b/auburncart/coordination/quarantine.py
@@ -2,6 +2,9 @@
 
 from abc import ABC, abstractmethod
 
+from auburncart.coordination.interfaces import PeerBus
+from auburncart.state import QueryRun
+
 __all__ = ["NoQuarantine", "Quarantine"]
 
 
@@ -9,35 +12,87 @@
     """Bounds the number of upstreams that one query can take down."""
 
     @abstractmethod
-    def refuses(self, kind: str, query: str, now: float) -> bool:
-        """Return whether a query must not be sent now."""
+    def refuses(self, run: QueryRun, now: float) -> bool:
+        """Return whether a query must not be sent to a shard now."""
 
     @abstractmethod
-    def isolates(self, kind: str, query: str, now: float) -> bool:
+    def isolates(self, run: QueryRun, now: float) -> bool:
         """Return whether a query must travel alone, apart from other queries."""
 
     @abstractmethod
-    def record_loss(self, address: str, queries: tuple[tuple[str, str], ...], now: float) -> None:
-        """Take in that an upstream was lost while it ran these ``(kind, query)`` pairs."""
+    def untested(self, run: QueryRun, now: float) -> bool:
+        """Return whether one shard must answer a query before the others are asked."""
+
+    @abstractmethod
+    def delay(self, run: QueryRun, now: float) -> float:
+        """Return the seconds after which an untested query that was lost may be sent again."""
+
+    @abstractmethod
+    async def take_turn(self, run: QueryRun, until: float) -> bool:
+        """Wait until no other search on this VM tests the same query.
+
+        :param until: loop time in seconds at which to give up.
+        :return: whether the turn was given; then it must be ended.
+        """
+
+    @abstractmethod
+    def end_turn(self, run: QueryRun) -> None:
+        """Let the next search test the query, or go on without if it is tested now."""
+
+    @abstractmethod
+    def record_loss(
+        self, address: str, runs: tuple[QueryRun, ...], trial: bool, now: float
+    ) -> None:
+        """Take in that an upstream was lost while it ran a request.
+
+        :param address: the upstream.
+        :param runs: the queries in the request.
+        :param trial: whether the request was one query, alone because it had to be.
+        :param now: loop time in seconds.
+        """
+
+    @abstractmethod
+    def join(self, bus: PeerBus) -> None:
+        """Exchange losses with the other VMs from now on."""
 
     @abstractmethod
-    def record_answer(self, kind: str, query: str, now: float) -> None:
+    def record_answer(self, run: QueryRun, now: float) -> None:
         """Take in that an upstream answered a query and survived it."""
 
 
 class NoQuarantine(Quarantine):
     """Lets every query through; the baseline."""
 
-    def refuses(self, kind: str, query: str, now: float) -> bool:
+    def refuses(self, run: QueryRun, now: float) -> bool:
+        """Return False."""
+        return False
+
+    def isolates(self, run: QueryRun, now: float) -> bool:
         """Return False."""
         return False
 
-    def isolates(self, kind: str, query: str, now: float) -> bool:
+    def untested(self, run: QueryRun, now: float) -> bool:
         """Return False."""
         return False
 
-    def record_loss(self, address: str, queries: tuple[tuple[str, str], ...], now: float) -> None:
+    def delay(self, run: QueryRun, now: float) -> float:
+        """Return 0."""
+        return 0.0
+
+    async def take_turn(self, run: QueryRun, until: float) -> bool:
+        """Return True."""
+        return True
+
+    def end_turn(self, run: QueryRun) -> None:
+        """Do nothing."""
+
+    def record_loss(
+        self, address: str, runs: tuple[QueryRun, ...], trial: bool, now: float
+    ) -> None:
         """Ignore the loss."""
 
-    def record_answer(self, kind: str, query: str, now: float) -> None:
+    def join(self, bus: PeerBus) -> None:
+        """Do nothing."""
+
+    def record_answer(self, run: QueryRun, now: float) -> None:
         """Ignore the answer."""
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -43,6 +43,7 @@
     OrderRequest,
     Verdict,
 )
+from auburncart.state.query import QueryRun, query_digest
 from auburncart.state.search import (
     Coverage,
     Hit,
@@ -113,6 +114,7 @@
     "Proof",
     "Publication",
     "QueryLoss",
+    "QueryRun",
     "Question",
     "Ran",
     "Rank",
@@ -148,4 +150,5 @@
     "Work",
     "coverage_of",
     "find_row",
+    "query_digest",
 ]
