--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -8,6 +8,9 @@
     NoAnswer,
     QueryLoss,
     Roll,
+    SeatAsk,
+    SeatNews,
+    SeatSeen,
     StatusAsk,
     StatusNews,
     TableAsk,
@@ -52,7 +55,9 @@
     SubQuery,
     coverage_of,
 )
+from auburncart.state.seat import Seat, SeatPlan, SeatPlans
 from auburncart.state.shards import Replica, Shard, ShardMap
+from auburncart.state.status import CentreStatus, VmStatus
 from auburncart.state.table import (
     AuditArchive,
     AuditEntry,
@@ -77,6 +82,7 @@
     "AuditEntry",
     "Batch",
     "BatchReply",
+    "CentreStatus",
     "Claim",
     "ClaimBucket",
     "ClaimChange",
@@ -124,6 +130,12 @@
     "Row",
     "SearchAnswer",
     "SearchRequest",
+    "Seat",
+    "SeatAsk",
+    "SeatNews",
+    "SeatPlan",
+    "SeatPlans",
+    "SeatSeen",
     "Shard",
     "ShardAnswer",
     "ShardMap",
@@ -139,6 +151,7 @@
     "UpstreamOrder",
     "Verdict",
     "Versions",
+    "VmStatus",
     "Work",
     "coverage_of",
     "find_row",
