Drains: signs from upstream, platform list and shard map; jobs move, misleading signs lose

Cause: NoDraining sends a leaving upstream half of its shard's work for good (test_drain). Change: an upstream that reports that it leaves, or that the platform's status object names, gets no new work while another replica can take it; its queue moves; a dial now and then without work finds the end of its process. A refusal and a shard map without it are always obeyed. Where all replicas of a shard or most upstreams bear a sign it is not believed. test_drain: 8 tests, each sign within 3 s, every search complete.

--- a/auburncart/coordination/connections.py
+++ b/auburncart/coordination/connections.py
@@ -3,7 +3,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 
 from eliot import write_traceback
 
@@ -17,6 +17,7 @@
 __all__ = ["ConnectionPool", "Errand", "Errands"]
 
 NEW_SECONDS = 0.1
+WATCH_SECONDS = 1.0
 
 Errand = Callable[[UpstreamConnection], Awaitable[UpstreamConnection | None]]
 
@@ -82,6 +83,7 @@
         self._dial_after = 0.0
         self._recovering = False
         self._closing = False
+        self._watching = False
         self._refusal = ""
         self._refused_since: float | None = None
 
@@ -114,7 +116,7 @@
         now = asyncio.get_running_loop().time()
         may_open = self.ready and self.connections < self._share()
         if may_open and now >= self._dial_after:
-            self._open()
+            self._open(self._serve())
 
     def trim(self) -> None:
         """Close idle connections above this VM's share, after the share has changed."""
@@ -124,6 +126,17 @@
             self._errands.strand(self.unready())
         self.engage()
 
+    def watch_end(self, leaving: Callable[[], bool]) -> None:
+        """Dial now and then while an upstream leaves; a refused dial tells that it has ended.
+
+        :param leaving: returns whether it still leaves, as far as is known.
+        """
+        if not (self._watching or self._closing):
+            self._watching = True
+            self._open(self._watch_end(leaving))
+            while self._wake():
+                pass
+
     async def close(self) -> None:
         """End all tasks; errands at work fail, and those pending are stranded."""
         self._closing = True
@@ -167,9 +180,9 @@
                 return True
         return False
 
-    def _open(self) -> None:
+    def _open(self, work: Coroutine[None, None, None]) -> None:
         self._serving += 1
-        task = asyncio.create_task(self._serve(), name=f"upstream {self._replica.address}")
+        task = asyncio.create_task(work, name=f"upstream {self._replica.address}")
         self._tasks.add(task)
         task.add_done_callback(self._closed)
         self._observer.connections_changed(self._replica.address, self.connections)
@@ -190,11 +203,13 @@
             if self._recovering:
                 connection = await self._redial()
             while self._serving <= self._share():
-                if not self._errands.pending:
-                    await self._wait()
-                elif connection is None:
+                if self._errands.pending and connection is None:
                     connection = await self.dial()
-                else:
+                elif not self._errands.pending and self._watching:
+                    break
+                elif not self._errands.pending:
+                    await self._wait()
+                elif connection is not None:
                     connection = await self._errands.next()(connection)
                     self._mark_used(connection)
                     self._unused.discard(connection)
@@ -212,6 +227,18 @@
         if connection is not None:
             self._used_at[connection] = asyncio.get_running_loop().time()
 
+    async def _watch_end(self, leaving: Callable[[], bool]) -> None:
+        try:
+            while leaving():
+                await asyncio.sleep(WATCH_SECONDS)
+                if self.connections <= self._share():
+                    await self.drop(await self.dial())
+        except UpstreamError as error:
+            self._refused(failure_of(error))
+        finally:
+            self._serving -= 1
+            self._watching = False
+
     async def _wait(self) -> None:
         wake: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._idle.append(wake)
@@ -250,4 +277,4 @@
         self._errands.strand(failure)
         if next(self._redialing.delays(), None) is not None and not self._recovering:
             self._recovering = True
-            self._open()
+            self._open(self._serve())
--- a/auburncart/coordination/health.py
+++ b/auburncart/coordination/health.py
@@ -38,6 +38,7 @@
         self.last_failure: Failure | None = None
         self.condition = UpstreamCondition.READY
         self.condition_since = 0.0
+        self.refused_leaving_at: float | None = None
 
     def record_reply(self, seconds: float, condition: UpstreamCondition, now: float) -> None:
         """Take in a reply.
@@ -53,6 +54,10 @@
             self.condition = condition
             self.condition_since = now
 
+    def record_refusal_to_leave(self, now: float) -> None:
+        """Take in that the upstream refused a sub-query because it leaves."""
+        self.refused_leaving_at = now
+
     def record_failure(self, failure: Failure, now: float) -> None:
         """Take in a request or a dial without a reply.
 
@@ -61,5 +66,6 @@
         self.failures += 1
         self.last_failure = failure
         if failure.code is FailureCode.UNREACHABLE:
+            self.refused_leaving_at = None
             self.condition = UpstreamCondition.READY
             self.condition_since = now
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -118,6 +118,10 @@
         """Begin to follow the store, each object in a task of its own."""
         tables = self._tables.follow(self._store, random.Random(f"{self._name}/table"))
         shards = self._catalogue.follow(self._store, random.Random(f"{self._name}/shards"))
+        status = self._policies.draining.follow(
+            self._store, self._catalogue, random.Random(f"{self._name}/status")
+        )
+        self._tasks.append(asyncio.create_task(status, name="upstream status"))
         self._tasks.append(asyncio.create_task(tables, name="table"))
         self._tasks.append(asyncio.create_task(shards, name="shards"))
 
@@ -158,4 +162,5 @@
             observer=self._observer,
             pressure=self._policies.pressure(),
             redialing=self._policies.redialing,
+            on_leaving=self._policies.draining.begin,
         )
--- a/auburncart/coordination/policies.py
+++ b/auburncart/coordination/policies.py
@@ -6,7 +6,7 @@
 from auburncart.coordination.admission import Admission, FirstComeAdmission
 from auburncart.coordination.batching import Batching, OnePerRequest, UpToLimit
 from auburncart.coordination.choice import ReplicaChoice, RoundRobinChoice
-from auburncart.coordination.drain import Draining, NoDraining
+from auburncart.coordination.drain import Draining, NoDraining, SignedDraining
 from auburncart.coordination.hedge import AdaptiveHedging, Hedging, NoHedging
 from auburncart.coordination.limits import ConnectionLimit, FixedLimit
 from auburncart.coordination.loaded import LeastLoadedChoice
@@ -69,4 +69,5 @@
         quarantine=StrikeQuarantine(seed),
         retrying=BudgetedRetrying(seed=seed),
         redialing=BackoffRedialing(seed),
+        draining=SignedDraining(),
     )
--- a/auburncart/coordination/retry.py
+++ b/auburncart/coordination/retry.py
@@ -87,6 +87,9 @@
 }
 
 
+TURNS_UNSENT: dict[FailureCode, _Turn] = {FailureCode.QUARANTINED: _Turn.NOWHERE}
+
+
 class BudgetedRetrying(Retrying):
     """Retries by kind of failure, within a budget relative to first tries.
 
@@ -113,7 +116,7 @@
         self, tries: int, failure: Failure, fresh: bool, now: float, deadline: float
     ) -> RetryPlan | None:
         """Return the next try that the kind of failure and the budget allow."""
-        turn = TURNS[failure.code]
+        turn = TURNS[failure.code] if failure.sent else TURNS_UNSENT.get(failure.code, _Turn.ANY)
         if turn is _Turn.NOWHERE or tries >= MAX_BUDGETED_TRIES:
             return None
         if turn is _Turn.OTHER and not fresh:
--- /dev/null
+++ b/auburncart/coordination/tests/test_drain.py
@@ -0,0 +1,167 @@
+"""Drains: no new work soon after the first sign, work in flight ends, no sign misleads for long."""
+
+import asyncio
+import random
+import unittest
+
+from auburncart.coordination import default_policies
+from auburncart.coordination.drain import UPSTREAM_STATUS, SignedDraining
+from auburncart.coordination.tests.trial import baseline, retried
+from auburncart.protocol.platform import encode_value, object_path
+from auburncart.state import UpstreamCondition, UpstreamStatus
+from auburncart.tests.site import Site, search_request
+from auburncart.tests.virtual import virtual_time
+
+LEAVER = "10.0.1.0:80"
+FEW_SECONDS = 3.0
+
+
+class DrainSite(Site):
+    """A site under steady load that notes which upstream worked when."""
+
+    def __init__(self, shards: int = 4) -> None:
+        policies = retried()._replace(draining=SignedDraining())
+        super().__init__(shards=shards, policies=policies)
+        self.worked: list[float] = []
+        self.followers: list[asyncio.Task[None]] = []
+        model = self.models[LEAVER]
+        search = model.search
+
+        async def noted(batch):  # type: ignore[no-untyped-def]
+            self.worked.append(asyncio.get_running_loop().time())
+            return await search(batch)
+
+        model.search = noted  # type: ignore[method-assign]
+
+    def follow(self) -> None:
+        following = self.policies.draining.follow(self.store, self.catalogue, random.Random(1))
+        self.followers.append(asyncio.create_task(following))
+
+    async def load(self, seconds: float) -> list:  # type: ignore[type-arg]
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        tasks = []
+        while loop.time() < end:
+            request = search_request(len(tasks))
+            tasks.append(asyncio.create_task(self.searches.search(request)))
+            await asyncio.sleep(0.01)
+        return [(await task).ok.coverage for task in tasks]
+
+    async def close(self) -> None:
+        for task in self.followers:
+            task.cancel()
+        await super().close()
+
+
+class DrainTest(unittest.TestCase):
+    @virtual_time
+    async def test_baseline_goes_on_sending_work(self) -> None:
+        site = Site(shards=4, policies=baseline())
+        site.models[LEAVER].set_condition(UpstreamCondition.DRAINING)
+        before = site.models[LEAVER].requests
+        for number in range(50):
+            await site.searches.search(search_request(number))
+        await site.close()
+        self.assertGreater(site.models[LEAVER].requests - before, 20)
+
+    @virtual_time
+    async def test_own_report_ends_new_work_and_loses_none(self) -> None:
+        site = DrainSite()
+        await site.load(1.0)
+        sign = asyncio.get_running_loop().time()
+        site.models[LEAVER].set_condition(UpstreamCondition.DRAINING)
+        found = await site.load(10.0)
+        await site.close()
+        self.assertTrue(all(coverage.complete for coverage in found))
+        self.assertLessEqual(max(site.worked), sign + FEW_SECONDS)
+
+    @virtual_time
+    async def test_platforms_list_ends_new_work(self) -> None:
+        site = DrainSite()
+        site.follow()
+        await site.load(1.0)
+        sign = asyncio.get_running_loop().time()
+        status = encode_value(UPSTREAM_STATUS, UpstreamStatus((LEAVER,)))
+        await site.platform.write(object_path(UPSTREAM_STATUS), status, "")
+        found = await site.load(10.0)
+        await site.close()
+        self.assertTrue(all(coverage.complete for coverage in found))
+        self.assertLessEqual(max(site.worked), sign + FEW_SECONDS)
+
+    @virtual_time
+    async def test_shard_map_without_it_ends_new_work_of_searches_pinned_before(self) -> None:
+        site = DrainSite()
+        site.follow()
+        await site.load(1.0)
+        sign = asyncio.get_running_loop().time()
+        shards = {
+            name: shard._replace(
+                replicas=tuple(one for one in shard.replicas if one.address != LEAVER)
+            )
+            for name, shard in site.shard_map.shards.items()
+        }
+        site.catalogue.install(site.shard_map._replace(version=2, shards=shards))
+        found = await site.load(5.0)
+        await site.close()
+        self.assertTrue(all(coverage.complete for coverage in found))
+        self.assertLessEqual(max(site.worked), sign + FEW_SECONDS)
+
+    @virtual_time
+    async def test_waiting_jobs_move_and_work_in_flight_ends(self) -> None:
+        site = DrainSite()
+        site.models[LEAVER].set_slow(30.0)
+        searches = [
+            asyncio.create_task(site.searches.search(search_request(number, seconds=5.0)))
+            for number in range(80)
+        ]
+        await asyncio.sleep(0.05)
+        site.models[LEAVER].set_condition(UpstreamCondition.DRAINING)
+        found = [(await search).ok.coverage for search in searches]
+        await site.close()
+        self.assertTrue(all(coverage.complete for coverage in found))
+        self.assertLess(len(site.worked), 20)
+
+    @virtual_time
+    async def test_upstream_that_ended_and_came_back_gets_work_again(self) -> None:
+        site = DrainSite()
+        model = site.models[LEAVER]
+        await site.load(1.0)
+        model.set_condition(UpstreamCondition.DRAINING)
+        await site.load(3.0)
+        model.kill()
+        await site.load(2.0)
+        model.set_condition(UpstreamCondition.READY)
+        model.restart()
+        back = asyncio.get_running_loop().time()
+        found = await site.load(4.0)
+        await site.close()
+        self.assertTrue(all(coverage.complete for coverage in found))
+        again = [at for at in site.worked if at > back]
+        self.assertTrue(again)
+        self.assertLessEqual(again[0], back + 2.0)
+
+    @virtual_time
+    async def test_reports_and_hints_that_mislead_cost_no_coverage(self) -> None:
+        site = DrainSite()
+        site.follow()
+        for model in site.models.values():
+            model.set_report(UpstreamCondition.DRAINING)
+        status = encode_value(UPSTREAM_STATUS, UpstreamStatus(tuple(site.models)))
+        await site.platform.write(object_path(UPSTREAM_STATUS), status, "")
+        found = await site.load(5.0)
+        used = sum(1 for model in site.models.values() if model.requests > 50)
+        await site.close()
+        self.assertTrue(all(coverage.complete for coverage in found))
+        self.assertEqual(used, len(site.models))
+
+    @virtual_time
+    async def test_a_dead_upstream_that_no_sign_names_is_found_all_the_same(self) -> None:
+        site = Site(shards=4, policies=default_policies(3))
+        site.models[LEAVER].kill()
+        found = [(await site.searches.search(search_request(n))).ok for n in range(20)]
+        await site.close()
+        self.assertTrue(all(answer.coverage.complete for answer in found))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -4,6 +4,7 @@
 import functools
 import itertools
 from collections import deque
+from collections.abc import Callable
 
 from eliot import write_traceback
 
@@ -54,6 +55,7 @@
     :param observer: told of connections and sub-queries.
     :param pressure: bounds the requests at work.
     :param redialing: spaces the dials after a refused one.
+    :param on_leaving: called when the upstream begins to report that it leaves.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         observer: Observer,
         pressure: InFlightLimit | None = None,
         redialing: Redialing | None = None,
+        on_leaving: Callable[["Upstream"], None] | None = None,
     ) -> None:
         self._replica = replica
         self._local = local
@@ -77,6 +80,7 @@
         self._quarantine = quarantine
         self._observer = observer
         self._pressure = pressure or OpenInFlight()
+        self._on_leaving = on_leaving
         self._health = UpstreamHealth()
         self._queue = JobQueue(replica, batching, quarantine)
         self._orders: deque[OrderJob] = deque()
@@ -142,6 +146,11 @@
         """Loop time in seconds at which that condition was first reported."""
         return self._health.condition_since
 
+    @property
+    def refused_leaving_at(self) -> float | None:
+        """Loop time in seconds at which it last refused work because it leaves, or None."""
+        return self._health.refused_leaving_at
+
     @property
     def ready(self) -> bool:
         """Whether a job given to it now can be taken up: it is not being waited for to recover."""
@@ -200,6 +209,10 @@
         """Fail all jobs in the queue, so that their searches ask another replica."""
         self._queue.fail_all(failure)
 
+    def watch_end(self) -> None:
+        """Dial now and then without work, until the process that leaves has ended."""
+        self._pool.watch_end(lambda: self.condition is UpstreamCondition.DRAINING)
+
     def trim(self) -> None:
         """Close idle connections above this VM's share, after the share has changed."""
         self._pool.trim()
@@ -372,7 +385,10 @@
     def _settle(self, jobs: tuple[Job, ...], reply: BatchReply) -> None:
         now = asyncio.get_running_loop().time()
         seconds = now - jobs[0].sent_at
+        was = self._health.condition
         self._health.record_reply(seconds, reply.condition, now)
+        if FailureCode.DRAINING in {failure.code for failure in reply.failures.values()}:
+            self._health.record_refusal_to_leave(now)
         if self._is_shed(reply):
             self._pressure.record_shed(now)
         else:
@@ -384,6 +400,9 @@
                 job.answer(answer)
             else:
                 job.fail(reply.failures.get(job.sub.sub_id, self._unmatched()))
+        began = self.condition is UpstreamCondition.DRAINING and was is not self.condition
+        if began and self._on_leaving is not None:
+            self._on_leaving(self)
 
     def _is_shed(self, reply: BatchReply) -> bool:
         codes = {failure.code for failure in reply.failures.values()}
--- a/auburncart/protocol/platform.py
+++ b/auburncart/protocol/platform.py
@@ -22,6 +22,7 @@
     Shard,
     ShardMap,
     TableDocument,
+    UpstreamStatus,
 )
 
 __all__ = [
@@ -148,6 +149,10 @@
     return msgspec.convert(fields, type=AuditArchive)
 
 
+def _decode_status(fields: Any) -> UpstreamStatus:
+    return msgspec.convert(fields, type=UpstreamStatus)
+
+
 def _plain(value: Any) -> Any:
     return msgspec.to_builtins(value)
 
@@ -155,6 +160,7 @@
 CODECS: dict[str, _Codec] = {
     "table": _Codec(_plain, _decode_table),
     "shards": _Codec(_encode_map, _decode_map),
+    "status": _Codec(_plain, _decode_status),
     "claims": _Codec(_encode_claims, _decode_claims),
     "audit": _Codec(_plain, _decode_archive),
 }
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -28,6 +28,7 @@
     coverage_of,
 )
 from auburncart.state.shards import Replica, Shard, ShardMap
+from auburncart.state.status import UpstreamStatus
 from auburncart.state.table import (
     AuditArchive,
     AuditEntry,
@@ -91,6 +92,7 @@
     "TableNews",
     "UpstreamCondition",
     "UpstreamOrder",
+    "UpstreamStatus",
     "Verdict",
     "Work",
     "coverage_of",
