Adaptive limit of requests at work on an upstream

Change: starts at the slots, compares times of requests among others with times of requests alone of the same size, cuts by a tenth; shedding halves, at one request a pause doubles up to 1 s. One replica that sheds for a second: more than 100 requests before, at most 20 after.

--- a/auburncart/coordination/gather.py
+++ b/auburncart/coordination/gather.py
@@ -245,7 +245,8 @@
     def _usable(self, name: str, now: float) -> list[Upstream]:
         candidates = self._fleet.candidates(self._map.shards[name])
         ready = [upstream for upstream in candidates if upstream.ready]
-        return self._policies.draining.usable(ready, now)
+        usable = self._policies.draining.usable(ready, now)
+        return [upstream for upstream in usable if not upstream.paused] or usable
 
     def _no_upstream(self, ask: Ask) -> Failure:
         """Return why no upstream of a shard can be asked now."""
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -160,7 +160,7 @@
             limit=self._policies.limit,
             quarantine=self._policies.quarantine,
             observer=self._observer,
-            pressure=self._policies.pressure(),
+            pressure=self._policies.pressure(replica),
             redialing=self._policies.redialing,
             on_leaving=self._policies.draining.begin,
         )
--- a/auburncart/coordination/policies.py
+++ b/auburncart/coordination/policies.py
@@ -11,11 +11,12 @@
 from auburncart.coordination.limits import ConnectionLimit, FixedLimit
 from auburncart.coordination.loaded import LeastLoadedChoice
 from auburncart.coordination.poison import StrikeQuarantine
-from auburncart.coordination.pressure import InFlightLimit, OpenInFlight
+from auburncart.coordination.pressure import AdaptiveInFlight, InFlightLimit, OpenInFlight
 from auburncart.coordination.quarantine import NoQuarantine, Quarantine
 from auburncart.coordination.ranked import RankedAdmission
 from auburncart.coordination.redial import BackoffRedialing, ImmediateRedialing, Redialing
 from auburncart.coordination.retry import BudgetedRetrying, Retrying, RetryThrice
+from auburncart.state import Replica
 
 __all__ = ["Policies", "baseline_policies", "default_policies"]
 
@@ -32,7 +33,7 @@
     retrying: Retrying
     redialing: Redialing = ImmediateRedialing()
     draining: Draining = NoDraining()
-    pressure: Callable[[], InFlightLimit] = OpenInFlight
+    pressure: Callable[[Replica], InFlightLimit] = OpenInFlight
 
 
 def baseline_policies(places: int, vms: int) -> Policies:
@@ -70,4 +71,5 @@
         retrying=BudgetedRetrying(seed=seed),
         redialing=BackoffRedialing(seed),
         draining=SignedDraining(),
+        pressure=AdaptiveInFlight,
     )
--- /dev/null
+++ b/auburncart/coordination/tests/test_pressure.py
@@ -0,0 +1,107 @@
+"""The adaptive limit: it backs off when an upstream sheds or slows, and recovers."""
+
+import asyncio
+import unittest
+
+from auburncart.coordination.pressure import AdaptiveInFlight, OpenInFlight
+from auburncart.coordination.tests.trial import both
+from auburncart.state import Replica, UpstreamCondition
+from auburncart.tests.site import Site, search_request
+from auburncart.tests.virtual import virtual_time
+
+REPLICA = Replica("10.0.0.1:80", "dc1", slots=4, connections=20)
+
+
+class LimitTest(unittest.TestCase):
+    def test_starts_at_the_slots_and_grows_while_it_costs_no_time(self) -> None:
+        limit = AdaptiveInFlight(REPLICA)
+        self.assertEqual(limit.requests(0.0), 4)
+        for step in range(200):
+            limit.record_reply(0.01, 1, limit.requests(step), float(step))
+        self.assertEqual(limit.requests(200.0), 20)
+
+    def test_backs_off_when_latency_climbs_and_recovers(self) -> None:
+        limit = AdaptiveInFlight(REPLICA)
+        limit.record_reply(0.01, 1, 1, 0.0)
+        for step in range(60):
+            limit.record_reply(0.05, 1, 4, step * 0.1)
+        self.assertEqual(limit.requests(6.0), 1)
+        for step in range(60):
+            limit.record_reply(0.01, 1, limit.requests(6.0), 6.0 + step * 0.1)
+        self.assertGreaterEqual(limit.requests(12.0), 4)
+
+    def test_an_upstream_that_is_slow_by_itself_is_not_taken_for_a_queue(self) -> None:
+        limit = AdaptiveInFlight(REPLICA)
+        limit.record_reply(0.01, 1, 1, 0.0)
+        for step in range(400):
+            limit.record_reply(0.05, 1, limit.requests(0.0), step * 0.1)
+        self.assertGreaterEqual(limit.requests(40.0), 4)
+
+    def test_larger_batches_take_longer_without_a_cut(self) -> None:
+        limit = AdaptiveInFlight(REPLICA)
+        for step in range(100):
+            size = 1 + 7 * (step % 2)
+            limit.record_reply(0.01 * size, size, 1 + 3 * (step > 10), step * 0.1)
+        self.assertGreaterEqual(limit.requests(10.0), 4)
+
+    def test_shedding_halves_and_then_pauses_for_a_growing_time(self) -> None:
+        limit = AdaptiveInFlight(REPLICA)
+        limit.record_shed(4, 0.0)
+        limit.record_shed(2, 0.1)
+        self.assertEqual(limit.requests(0.2), 1)
+        pauses = []
+        now = 0.2
+        for _ in range(10):
+            limit.record_shed(1, now)
+            self.assertEqual(limit.requests(now), 0)
+            pauses.append(limit.resumes_at() - now)
+            now = limit.resumes_at()
+            self.assertEqual(limit.requests(now), 1)
+        self.assertLessEqual(pauses[0], 0.02)
+        self.assertLessEqual(max(pauses), 1.0)
+        self.assertGreaterEqual(pauses[-1], 0.5)
+        limit.record_reply(0.01, 1, 1, now)
+        limit.record_shed(1, now)
+        self.assertLessEqual(limit.resumes_at() - now, 0.02)
+
+    def test_baseline_never_limits(self) -> None:
+        limit = OpenInFlight(REPLICA)
+        limit.record_shed(1, 0.0)
+        self.assertGreater(limit.requests(0.0), REPLICA.connections)
+
+
+class ShedTest(unittest.TestCase):
+    async def _requests_while_shedding(self, site: Site) -> tuple[int, bool]:
+        """Return requests to the one replica in a second in which it sheds, and if it is back."""
+        model = site.models["10.0.0.0:80"]
+        model.set_condition(UpstreamCondition.SHEDDING)
+        searches = []
+        for number in range(100):
+            request = search_request(number, seconds=0.3)
+            searches.append(asyncio.create_task(site.searches.search(request)))
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*searches)
+        sent = model.requests
+        model.set_condition(UpstreamCondition.READY)
+        back = False
+        for number in range(40):
+            answer = (await site.searches.search(search_request(number, seconds=0.3))).ok
+            back = back or answer.coverage.complete
+            await asyncio.sleep(0.05)
+        await site.close()
+        return sent, back
+
+    @virtual_time
+    async def test_an_upstream_that_sheds_gets_few_requests_and_then_its_full_part(self) -> None:
+        open_site = Site(shards=1, replicas=1, policies=both())
+        sent_open, _ = await self._requests_while_shedding(open_site)
+        limited = both()._replace(pressure=AdaptiveInFlight)
+        site = Site(shards=1, replicas=1, policies=limited)
+        sent, back = await self._requests_while_shedding(site)
+        self.assertGreater(sent_open, 100)
+        self.assertLessEqual(sent, 20)
+        self.assertTrue(back)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -79,7 +79,7 @@
         self._limit = limit
         self._quarantine = quarantine
         self._observer = observer
-        self._pressure = pressure or OpenInFlight()
+        self._pressure = pressure or OpenInFlight(replica)
         self._on_leaving = on_leaving
         self._health = UpstreamHealth()
         self._queue = JobQueue(replica, batching, quarantine)
@@ -168,6 +168,11 @@
         room = min(self._share(), self._pressure.requests(now))
         return self.ready and not self._queue and len(self._running) < room
 
+    @property
+    def paused(self) -> bool:
+        """Whether it is left alone for a moment because it shed."""
+        return asyncio.get_running_loop().time() < self._pressure.resumes_at()
+
     def submit(self, job: Job) -> None:
         """Put a job into the queue and see that a connection takes it."""
         job.queued_at = asyncio.get_running_loop().time()
@@ -372,7 +377,7 @@
         now = asyncio.get_running_loop().time()
         self._health.record_failure(failure, now)
         if failure.code is FailureCode.SHED:
-            self._pressure.record_shed(now)
+            self._pressure.record_shed(len(self._running), now)
         if failure.code is FailureCode.LOST and failure.sent:
             runs = tuple(job.run for job in jobs)
             self._quarantine.record_loss(self.address, runs, jobs[0].isolated, now)
@@ -390,9 +395,9 @@
         if FailureCode.DRAINING in {failure.code for failure in reply.failures.values()}:
             self._health.record_refusal_to_leave(now)
         if self._is_shed(reply):
-            self._pressure.record_shed(now)
+            self._pressure.record_shed(len(self._running), now)
         else:
-            self._pressure.record_reply(seconds, len(self._running), now)
+            self._pressure.record_reply(seconds, len(jobs), len(self._running), now)
         for job in jobs:
             answer = reply.answers.get(job.sub.sub_id)
             if answer is not None:
