--- a/auburncart/bench/tier.py
+++ b/auburncart/bench/tier.py
@@ -51,7 +51,10 @@
 
 
 def _default(parts: VmParts) -> Policies:
-    return default_policies(parts.vms, seed=zlib.crc32(parts.membership.own.address.encode()))
+    seed = zlib.crc32(parts.membership.own.address.encode())
+    policies = default_policies(parts.vms, seed=seed)
+    policies.quarantine.join(parts.bus)
+    return policies
 
 
 POLICIES: dict[str, Callable[[VmParts], Policies]] = {"baseline": _baseline, "default": _default}
--- a/auburncart/coordination/gather.py
+++ b/auburncart/coordination/gather.py
@@ -30,8 +30,7 @@
 _sub_numbers = itertools.count(1)
 
 MOST_CANARIES = 2
-CANARY_SECONDS = 0.03  # time after which a second shard tests the query too
-OUTAGE_SECONDS = 1.0  # time for which searches wait for a shard without any upstream
+CANARY_SECONDS = 0.03
 QUARANTINED = Failure(
     Step.ROUTE,
     "",
@@ -159,17 +158,21 @@
         return query_digest(self._digest, name)
 
     def _patience(self, ask: Ask) -> float:
-        if ask.jobs:
-            upstream = self._fleet.get(ask.jobs[0].address)
-            if upstream is not None:
-                delay = self._policies.hedging.delay(self._rank, upstream)
-                return CANARY_SECONDS if delay is None else delay
-        return CANARY_SECONDS
+        """Return seconds after which a second shard tests the query too.
+
+        That costs no extra load, since that shard has to be asked anyway.
+        """
+        upstream = self._fleet.get(ask.jobs[0].address) if ask.jobs else None
+        if upstream is None:
+            return CANARY_SECONDS
+        late = self._policies.hedging.delay(self._rank, upstream) or CANARY_SECONDS
+        return min(upstream.latency or late, late)
 
     def _ask_rest(self) -> None:
         run = self._run(self._names[0])
         tested = not self._policies.quarantine.untested(run, self._now())
         refused = self._policies.quarantine.refuses(run, self._now())
+        self._hedge_tested()
         for name in self._names:
             if name in self._asks or name in self._answers or name in self._failures:
                 continue
@@ -178,6 +181,18 @@
             else:
                 self._failures[name] = UNTESTED
 
+    def _hedge_tested(self) -> None:
+        """Let the shards that tested the query be hedged now, which was not allowed before."""
+        for ask in self._asks:
+            if ask.due is Due.HEDGE and ask.wait and ask.jobs:
+                late_at = ask.jobs[0].queued_at + self._first_wait(ask)
+                self._asks.schedule(ask, Due.HEDGE, max(self._now(), late_at))
+
+    def _first_wait(self, ask: Ask) -> float:
+        upstream = self._fleet.get(ask.jobs[0].address)
+        delay = self._policies.hedging.delay(self._rank, upstream) if upstream else None
+        return ask.wait if delay is None else delay
+
     async def _step(self, until: float) -> bool:
         """Take in what arrives, and do what is due.
 
@@ -309,7 +324,7 @@
     def _retry(self, ask: Ask, failure: Failure) -> None:
         now = self._now()
         usable = self._usable(ask.name, now)
-        if not usable and self._hopeless(ask, now):
+        if self._hopeless(ask):
             self._give_up(ask, failure)
             return
         fresh = any(upstream.address not in ask.tried for upstream in usable)
@@ -320,13 +335,10 @@
         ask.other_only = plan.other_only
         self._asks.schedule(ask, Due.RETRY, now + plan.delay)
 
-    def _hopeless(self, ask: Ask, now: float) -> bool:
-        """Return whether all upstreams of a shard have refused connections for a while."""
-        since = [
-            upstream.refused_since
-            for upstream in self._fleet.candidates(self._map.shards[ask.name])
-        ]
-        return all(at is not None and now - at > OUTAGE_SECONDS for at in since)
+    def _hopeless(self, ask: Ask) -> bool:
+        """Return whether no upstream of a shard is expected to take work soon."""
+        candidates = self._fleet.candidates(self._map.shards[ask.name])
+        return all(upstream.hopeless for upstream in candidates)
 
     def _give_up(self, ask: Ask, failure: Failure) -> None:
         self._failures[ask.name] = failure
--- a/auburncart/coordination/tests/test_hedge.py
+++ b/auburncart/coordination/tests/test_hedge.py
@@ -34,6 +34,11 @@
         self.assertEqual(hedged.complete, 1.0)
         self.assertLessEqual(hedged.extra, FAULT_EXTRA)
 
+    def test_straggler_that_tests_a_new_query_stays_within_the_aim(self) -> None:
+        calm = measure_briefly("calm", "whole")
+        straggler = measure_briefly("straggler", "whole")
+        self.assertLessEqual(straggler.p99, STRAGGLER_RISE * calm.p99)
+
     def test_frozen_replica_costs_no_coverage(self) -> None:
         hedged = measure_briefly("frozen", "both")
         self.assertEqual(hedged.complete, 1.0)
--- a/auburncart/coordination/tests/test_pressure.py
+++ b/auburncart/coordination/tests/test_pressure.py
@@ -102,6 +102,21 @@
         self.assertLessEqual(sent, 20)
         self.assertTrue(back)
 
+    @virtual_time
+    async def test_a_shard_whose_replicas_all_shed_does_not_hold_the_search_to_its_deadline(
+        self,
+    ) -> None:
+        site = Site(shards=2, policies=both()._replace(pressure=AdaptiveInFlight))
+        for copy in range(2):
+            site.models[f"10.0.0.{copy}:80"].set_condition(UpstreamCondition.SHEDDING)
+        loop = asyncio.get_running_loop()
+        for number in range(200):
+            start = loop.time()
+            answer = (await site.searches.search(search_request(number, seconds=5.0))).ok
+            self.assertLessEqual(loop.time() - start, 1.0)
+            self.assertEqual(answer.coverage.answered, 1)
+        await site.close()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/auburncart/coordination/tests/trial.py
+++ b/auburncart/coordination/tests/trial.py
@@ -13,7 +13,10 @@
 import async_solipsism
 
 from auburncart.coordination import Policies, baseline_policies
+from auburncart.coordination.drain import SignedDraining
 from auburncart.coordination.hedge import AdaptiveHedging
+from auburncart.coordination.poison import StrikeQuarantine
+from auburncart.coordination.pressure import AdaptiveInFlight
 from auburncart.coordination.redial import BackoffRedialing
 from auburncart.coordination.retry import BudgetedRetrying
 from auburncart.state import SearchRequest, UpstreamCondition
@@ -113,7 +116,23 @@
     return retried()._replace(hedging=AdaptiveHedging())
 
 
-POLICIES = {"baseline": baseline, "hedges": hedged, "retries": retried, "both": both}
+def tested() -> Policies:
+    """Each query of a trial is new, so that each is tested on one shard first."""
+    return both()._replace(quarantine=StrikeQuarantine(seed=1))
+
+
+def whole() -> Policies:
+    return tested()._replace(pressure=AdaptiveInFlight, draining=SignedDraining())
+
+
+POLICIES = {
+    "baseline": baseline,
+    "hedges": hedged,
+    "retries": retried,
+    "both": both,
+    "tested": tested,
+    "whole": whole,
+}
 
 
 def _calm(site: Site) -> None:
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -36,6 +36,8 @@
 
 __all__ = ["Upstream"]
 
+OUTAGE_SECONDS = 1.0  # time for which searches wait for an upstream that refuses connections
+LONG_PAUSE_SECONDS = 0.1  # an upstream left alone for longer fails its jobs at once
 STALE_SECONDS = 1.0  # an upstream may close a connection that is idle for longer
 _request_numbers = itertools.count(1)
 
@@ -157,9 +159,12 @@
         return self._pool.ready
 
     @property
-    def refused_since(self) -> float | None:
-        """Loop time in seconds of the first refused dial since the last good one, or None."""
-        return self._pool.refused_since
+    def hopeless(self) -> bool:
+        """Whether it has refused connections for a while, or sheds and is left alone for long."""
+        now = asyncio.get_running_loop().time()
+        since = self._pool.refused_since
+        refusing = since is not None and now - since > OUTAGE_SECONDS
+        return refusing or self._pressure.resumes_at() - now > LONG_PAUSE_SECONDS
 
     @property
     def free(self) -> bool:
@@ -179,6 +184,9 @@
         if not self.ready:
             job.fail(self._pool.unready())
             return
+        if self._pressure.resumes_at() - job.queued_at > LONG_PAUSE_SECONDS:
+            job.fail(self._shed())
+            return
         self._queue.add(job)
         self._pool.engage()
 
@@ -377,7 +385,7 @@
         now = asyncio.get_running_loop().time()
         self._health.record_failure(failure, now)
         if failure.code is FailureCode.SHED:
-            self._pressure.record_shed(len(self._running), now)
+            self._back_off(now)
         if failure.code is FailureCode.LOST and failure.sent:
             runs = tuple(job.run for job in jobs)
             self._quarantine.record_loss(self.address, runs, jobs[0].isolated, now)
@@ -395,7 +403,7 @@
         if FailureCode.DRAINING in {failure.code for failure in reply.failures.values()}:
             self._health.record_refusal_to_leave(now)
         if self._is_shed(reply):
-            self._pressure.record_shed(len(self._running), now)
+            self._back_off(now)
         else:
             self._pressure.record_reply(seconds, len(jobs), len(self._running), now)
         for job in jobs:
@@ -409,6 +417,15 @@
         if began and self._on_leaving is not None:
             self._on_leaving(self)
 
+    def _back_off(self, now: float) -> None:
+        self._pressure.record_shed(len(self._running), now)
+        if self._pressure.resumes_at() - now > LONG_PAUSE_SECONDS:
+            self.withdraw(self._shed())
+
+    def _shed(self) -> Failure:
+        reason = "left alone for a moment after it shed work"
+        return Failure(Step.QUEUE, self.address, reason, FailureCode.SHED, False)
+
     def _is_shed(self, reply: BatchReply) -> bool:
         codes = {failure.code for failure in reply.failures.values()}
         return reply.condition is UpstreamCondition.SHEDDING or FailureCode.SHED in codes
