--- a/auburncart/command/bench.py
+++ b/auburncart/command/bench.py
@@ -1,20 +1,31 @@
 """``auburncart bench``: measurements."""
 
+import asyncio
 import sys
+from pathlib import Path
 
 import msgspec
 from cyclopts import App
 
+from auburncart.bench.bounds import control_bounds
 from auburncart.bench.cases import CASES
+from auburncart.bench.concurrency import measure_loop, measure_threads
+from auburncart.bench.control import decision_slopes, object_slopes
+from auburncart.bench.load import Stream, run_load
+from auburncart.bench.loopback import control_cost, transport_slope
 from auburncart.bench.measure import RunFigures
-from auburncart.bench.report import run_table
+from auburncart.bench.plot import plot_runs
+from auburncart.bench.report import bound_table, run_table, slope_table
 from auburncart.bench.run import run_case
 from auburncart.bench.site import load_site
+from auburncart.bench.summary import summary_table
 from auburncart.bench.tier import POLICIES
+from auburncart.exception import InputError
 
 __all__ = ["app"]
 
 DEFAULT_SECONDS = 10.0
+EXIT_EXCEEDED = 1
 
 app = App(name="bench", help="Measure the decisions of the tier.")
 
@@ -28,6 +39,7 @@
     seed: int = 1,
     seconds: float = DEFAULT_SECONDS,
     json: bool = False,
+    plot: Path | None = None,
 ) -> int:
     """Run one case on virtual time over the real decisions, and print its figures.
 
@@ -37,14 +49,67 @@
     :param seed: seed of arrivals, service times and faults; the same seed gives the same figures.
     :param seconds: measured time in virtual seconds, after one second of warm-up.
     :param json: print one JSON array in place of the table.
+    :param plot: file for a picture of latency by rank and coverage over time, such as ``run.svg``.
     """
     loaded = load_site(site)
     names = tuple(POLICIES) if policies == "both" else (policies,)
     results = [run_case(loaded, case, name, seed, seconds) for name in names]
+    if plot is not None:
+        plot_runs(results, plot)
     _print([result.figures for result in results], json)
     return 0
 
 
+@app.command
+def concurrency(
+    *, to: str, shard: str, connections: int = 8, count: int = 1000, repeat: int = 3
+) -> int:
+    """Compare one loop with a thread for each connection to threads throughout.
+
+    :param to: ``IP:port`` of an upstream on loopback, such as ``auburncart standin upstream``.
+    :param shard: a shard that it holds.
+    :param connections: kept connections.
+    :param count: sub-queries in a run.
+    :param repeat: runs of each way, in turns.
+    """
+    for _ in range(repeat):
+        for measure in (measure_loop, measure_threads):
+            cost = measure(to, shard, connections, count)
+            figures = f"{cost.processor_ms:.3f} ms processor time, {cost.wall_ms:.3f} ms each"
+            print(f"{cost.way:<8} {cost.sub_queries} sub-queries: {figures}")
+    return 0
+
+
+@app.command
+def load(stream: list[str], *, seconds: float = 5.0, seed: int = 1, json: bool = False) -> int:
+    """Send searches to running entry VMs at given rates and print what came of them.
+
+    :param stream: ``IP:port,CUSTOMER,KIND,RATE,DEADLINE_MS``, one for each kind of work.
+    :param seconds: time in which requests arrive.
+    :param seed: seed of the arrival times.
+    :param json: print one JSON array in place of the lines.
+    """
+    figures = asyncio.run(run_load([_stream(text) for text in stream], seconds, seed))
+    if json:
+        sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
+        return 0
+    for found in figures:
+        times = f"p50 {found.p50_ms:.1f}, p99 {found.p99_ms:.1f}, longest {found.longest_ms:.1f} ms"
+        print(f"{found.stream.kind}: {found.offered} offered, {found.in_time:.2%} in time; {times}")
+        print(f"  {found.outcomes}")
+    return 0
+
+
+def _stream(text: str) -> Stream:
+    parts = text.split(",")
+    try:
+        address, customer, kind, rate, deadline_ms = parts
+        return Stream(address, customer, kind, float(rate), int(deadline_ms))
+    except ValueError as error:
+        expected = "expected IP:port,CUSTOMER,KIND,RATE,DEADLINE_MS"
+        raise InputError(f"stream {text!r}: {expected}", step="parse") from error
+
+
 @app.command
 def cases() -> int:
     """List the cases."""
@@ -53,6 +118,45 @@
     return 0
 
 
+@app.command
+def summary(*files: Path) -> int:
+    """Print runs side by side as a Markdown table.
+
+    :param files: outputs of ``bench run --json``, those of the case ``calm`` among them.
+    """
+    runs = [figures for file in files for figures in _read(file)]
+    sys.stdout.write(summary_table(runs))
+    return 0
+
+
+@app.command
+def control(*, check: bool = False, json: bool = False) -> int:
+    """Measure the slopes of what a daemon spends, and compare control with its bounds.
+
+    Exit code 1 with ``--check`` if a bound is exceeded.
+
+    :param check: measure the bounds only, and judge them by the exit code.
+    :param json: print one JSON object in place of the tables.
+    """
+    slopes = [] if check else [*object_slopes(), *decision_slopes(), transport_slope()]
+    cost = control_cost()
+    bounds = control_bounds(cost)
+    if json:
+        fields = {"slopes": slopes, "control": cost, "bounds": bounds}
+        sys.stdout.write(msgspec.json.encode(fields).decode() + "\n")
+    else:
+        sys.stdout.write(slope_table(slopes) + bound_table(bounds))
+    exceeded = any(not bound.kept for bound in bounds)
+    return EXIT_EXCEEDED if check and exceeded else 0
+
+
+def _read(file: Path) -> list[RunFigures]:
+    try:
+        return msgspec.json.decode(file.read_bytes(), type=list[RunFigures])
+    except (OSError, msgspec.DecodeError) as error:
+        raise InputError(f"{file}: {error}", step="bench") from error
+
+
 def _print(figures: list[RunFigures], json: bool) -> None:
     if json:
         sys.stdout.write(msgspec.json.encode(figures).decode() + "\n")
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -86,6 +86,7 @@
         self._health = UpstreamHealth()
         self._queue = JobQueue(replica, batching, quarantine)
         self._orders: deque[OrderJob] = deque()
+        self._open_orders = 0
         self._cancels: deque[str] = deque()
         self._running: dict[str, tuple[Job, ...]] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -115,8 +116,9 @@
 
     @property
     def outstanding(self) -> int:
-        """Number of sub-queries in the queue or at work."""
-        return self.waiting + sum(len(jobs) for jobs in self._running.values())
+        """Number of sub-queries and orders in the queue or at work."""
+        running = sum(len(jobs) for jobs in self._running.values())
+        return self.waiting + running + self._open_orders
 
     @property
     def connections(self) -> int:
@@ -216,7 +218,11 @@
         job = OrderJob(order)
         self._orders.append(job)
         self._pool.engage()
-        return await job.reply()
+        self._open_orders += 1
+        try:
+            return await job.reply()
+        finally:
+            self._open_orders -= 1
 
     def withdraw(self, failure: Failure) -> None:
         """Fail all jobs in the queue, so that their searches ask another replica."""
