--- a/auburncart/bench/tier.py
+++ b/auburncart/bench/tier.py
@@ -52,9 +52,7 @@
 
 def _default(parts: VmParts) -> Policies:
     seed = zlib.crc32(parts.membership.own.address.encode())
-    policies = default_policies(parts.vms, seed=seed)
-    policies.quarantine.join(parts.bus)
-    return policies
+    return default_policies(parts.vms, seed=seed)
 
 
 POLICIES: dict[str, Callable[[VmParts], Policies]] = {"baseline": _baseline, "default": _default}
@@ -189,6 +187,7 @@
             POLICIES[policies](parts),
             observer,
         )
+        node.share_losses(parts.bus)
         node.catalogue.install(self.shard_map)
         node.tables.install(self.site.table)
         return EntryVm(member, dialer, node)
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -38,6 +38,7 @@
 
 OUTAGE_SECONDS = 1.0  # time for which searches wait for an upstream that refuses connections
 LONG_PAUSE_SECONDS = 0.1  # an upstream left alone for longer fails its jobs at once
+RESUME_SLACK_SECONDS = 0.001
 STALE_SECONDS = 1.0  # an upstream may close a connection that is idle for longer
 _request_numbers = itertools.count(1)
 
@@ -272,9 +273,14 @@
 
     def _resume_later(self, now: float) -> None:
         at = self._pressure.resumes_at()
-        if at <= now or (self._timer is not None and self._timer.when() >= now):
-            return
-        self._timer = asyncio.get_running_loop().call_at(at, self._pool.engage)
+        if self._timer is None and at > now:
+            # A timer may fire up to the clock's resolution early.
+            at += RESUME_SLACK_SECONDS
+            self._timer = asyncio.get_running_loop().call_at(at, self._resume)
+
+    def _resume(self) -> None:
+        self._timer = None
+        self._pool.engage()
 
     def _isolated_at_work(self) -> bool:
         return any(jobs[0].isolated for jobs in self._running.values())
