--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -4,6 +4,7 @@
 import functools
 import itertools
 from collections import deque
+from collections.abc import Callable
 
 from eliot import write_traceback
 
@@ -35,6 +36,9 @@
 
 __all__ = ["Upstream"]
 
+OUTAGE_SECONDS = 1.0  # time for which searches wait for an upstream that refuses connections
+LONG_PAUSE_SECONDS = 0.1  # an upstream left alone for longer fails its jobs at once
+RESUME_SLACK_SECONDS = 0.001
 STALE_SECONDS = 1.0  # an upstream may close a connection that is idle for longer
 _request_numbers = itertools.count(1)
 
@@ -54,6 +58,7 @@
     :param observer: told of connections and sub-queries.
     :param pressure: bounds the requests at work.
     :param redialing: spaces the dials after a refused one.
+    :param on_leaving: called when the upstream begins to report that it leaves.
     """
 
     def __init__(
@@ -69,6 +74,7 @@
         observer: Observer,
         pressure: InFlightLimit | None = None,
         redialing: Redialing | None = None,
+        on_leaving: Callable[["Upstream"], None] | None = None,
     ) -> None:
         self._replica = replica
         self._local = local
@@ -76,7 +82,8 @@
         self._limit = limit
         self._quarantine = quarantine
         self._observer = observer
-        self._pressure = pressure or OpenInFlight()
+        self._pressure = pressure or OpenInFlight(replica)
+        self._on_leaving = on_leaving
         self._health = UpstreamHealth()
         self._queue = JobQueue(replica, batching, quarantine)
         self._orders: deque[OrderJob] = deque()
@@ -149,15 +156,23 @@
         """Loop time in seconds at which that condition was first reported."""
         return self._health.condition_since
 
+    @property
+    def refused_leaving_at(self) -> float | None:
+        """Loop time in seconds at which it last refused work because it leaves, or None."""
+        return self._health.refused_leaving_at
+
     @property
     def ready(self) -> bool:
         """Whether a job given to it now can be taken up: it is not being waited for to recover."""
         return self._pool.ready
 
     @property
-    def refused_since(self) -> float | None:
-        """Loop time in seconds of the first refused dial since the last good one, or None."""
-        return self._pool.refused_since
+    def hopeless(self) -> bool:
+        """Whether it has refused connections for a while, or sheds and is left alone for long."""
+        now = asyncio.get_running_loop().time()
+        since = self._pool.refused_since
+        refusing = since is not None and now - since > OUTAGE_SECONDS
+        return refusing or self._pressure.resumes_at() - now > LONG_PAUSE_SECONDS
 
     @property
     def free(self) -> bool:
@@ -166,12 +181,20 @@
         room = min(self._share(), self._pressure.requests(now))
         return self.ready and not self._queue and len(self._running) < room
 
+    @property
+    def paused(self) -> bool:
+        """Whether it is left alone for a moment because it shed."""
+        return asyncio.get_running_loop().time() < self._pressure.resumes_at()
+
     def submit(self, job: Job) -> None:
         """Put a job into the queue and see that a connection takes it."""
         job.queued_at = asyncio.get_running_loop().time()
         if not self.ready:
             job.fail(self._pool.unready())
             return
+        if self._pressure.resumes_at() - job.queued_at > LONG_PAUSE_SECONDS:
+            job.fail(self._shed())
+            return
         self._queue.add(job)
         self._pool.engage()
 
@@ -211,6 +234,10 @@
         """Fail all jobs in the queue, so that their searches ask another replica."""
         self._queue.fail_all(failure)
 
+    def watch_end(self) -> None:
+        """Dial now and then without work, until the process that leaves has ended."""
+        self._pool.watch_end(lambda: self.condition is UpstreamCondition.DRAINING)
+
     def trim(self) -> None:
         """Close idle connections above this VM's share, after the share has changed."""
         self._pool.trim()
@@ -251,9 +278,14 @@
 
     def _resume_later(self, now: float) -> None:
         at = self._pressure.resumes_at()
-        if at <= now or (self._timer is not None and self._timer.when() >= now):
-            return
-        self._timer = asyncio.get_running_loop().call_at(at, self._pool.engage)
+        if self._timer is None and at > now:
+            # A timer may fire up to the clock's resolution early.
+            at += RESUME_SLACK_SECONDS
+            self._timer = asyncio.get_running_loop().call_at(at, self._resume)
+
+    def _resume(self) -> None:
+        self._timer = None
+        self._pool.engage()
 
     def _isolated_at_work(self) -> bool:
         return any(jobs[0].isolated for jobs in self._running.values())
@@ -370,7 +402,7 @@
         now = asyncio.get_running_loop().time()
         self._health.record_failure(failure, now)
         if failure.code is FailureCode.SHED:
-            self._pressure.record_shed(now)
+            self._back_off(now)
         if failure.code is FailureCode.LOST and failure.sent:
             runs = tuple(job.run for job in jobs)
             self._quarantine.record_loss(self.address, runs, jobs[0].isolated, now)
@@ -383,11 +415,14 @@
     def _settle(self, jobs: tuple[Job, ...], reply: BatchReply) -> None:
         now = asyncio.get_running_loop().time()
         seconds = now - jobs[0].sent_at
+        was = self._health.condition
         self._health.record_reply(seconds, reply.condition, now)
+        if FailureCode.DRAINING in {failure.code for failure in reply.failures.values()}:
+            self._health.record_refusal_to_leave(now)
         if self._is_shed(reply):
-            self._pressure.record_shed(now)
+            self._back_off(now)
         else:
-            self._pressure.record_reply(seconds, len(self._running), now)
+            self._pressure.record_reply(seconds, len(jobs), len(self._running), now)
         for job in jobs:
             answer = reply.answers.get(job.sub.sub_id)
             if answer is not None:
@@ -395,6 +430,18 @@
                 job.answer(answer)
             else:
                 job.fail(reply.failures.get(job.sub.sub_id, self._unmatched()))
+        began = self.condition is UpstreamCondition.DRAINING and was is not self.condition
+        if began and self._on_leaving is not None:
+            self._on_leaving(self)
+
+    def _back_off(self, now: float) -> None:
+        self._pressure.record_shed(len(self._running), now)
+        if self._pressure.resumes_at() - now > LONG_PAUSE_SECONDS:
+            self.withdraw(self._shed())
+
+    def _shed(self) -> Failure:
+        reason = "left alone for a moment after it shed work"
+        return Failure(Step.QUEUE, self.address, reason, FailureCode.SHED, False)
 
     def _is_shed(self, reply: BatchReply) -> bool:
         codes = {failure.code for failure in reply.failures.values()}
