A reply of the store that never ends is given up; a slow store slows orders only

Cause, test failed first: the time limit was one for each wait on the socket, so a store that sent a byte now and then held a call for ever (test_store.py).

--- a/auburncart/coordination/tests/test_outage.py
+++ b/auburncart/coordination/tests/test_outage.py
@@ -131,6 +131,29 @@
         self.assertLess(site.platform.calls, 60)
         await site.close()
 
+    @virtual_time
+    async def test_slow_store_slows_orders_and_nothing_else(self) -> None:
+        site = Site()
+        await published(site)
+        site.node.start()
+        await asyncio.sleep(1.0)
+        site.platform.set_delay(1.2)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        searched = (await site.searches.search(search_request())).ok
+        self.assertTrue(searched.coverage.complete)
+        self.assertLess(loop.time() - began, 0.1)
+        self.assertEqual((await site.orders.order(order_request(1))).ok.ran, Ran.YES)
+        hasty = order_request(2)._replace(deadline=loop.time() + 1.0)
+        self.assertEqual((await site.orders.order(hasty)).error.ran, Ran.NO)
+        await asyncio.sleep(30.0)
+        again = hasty._replace(request_id="o3", deadline=loop.time() + 9.0, repeat=True)
+        self.assertEqual((await site.orders.order(again)).ok.ran, Ran.YES)
+        await replace_table(site, new_table(2))
+        await asyncio.sleep(IN_FORCE_SECONDS)
+        self.assertEqual(site.tables.table.version, 2)
+        await site.close()
+
     @virtual_time
     async def test_return_of_the_store_brings_no_stampede(self) -> None:
         site = Site()
--- a/auburncart/transport/store.py
+++ b/auburncart/transport/store.py
@@ -1,5 +1,6 @@
 """The platform's store by HTTP with conditional requests and long-poll watches."""
 
+import asyncio
 from typing import Any, TypeVar
 
 from auburncart.coordination import Key, Store, Stored
@@ -31,9 +32,11 @@
 
     :param address: ``"IP:port"`` of the store.
     :param token: credential sent with each call, ``""`` for none.
+    :param call_seconds: time limit of a call, to which the wait of a watch is added.
     """
 
-    def __init__(self, address: str, token: str = "") -> None:
+    def __init__(self, address: str, token: str = "", call_seconds: float = CALL_SECONDS) -> None:
+        self._call_seconds = call_seconds
         self._address = address
         self._headers = {"Authorization": f"Bearer {token}"} if token else {}
         self._kept: list[HttpConnection] = []
@@ -97,11 +100,15 @@
         wait: float = 0.0,
     ) -> HttpReply:
         merged = {**self._headers, **(headers or {})}
+        seconds = self._call_seconds + wait
         try:
-            connection = await self._connection()
-            reply = await connection.request(method, path, body, merged, CALL_SECONDS + wait)
+            async with asyncio.timeout(seconds):
+                connection = await self._connection()
+                reply = await connection.request(method, path, body, merged, seconds)
         except LinkError as error:
             raise self._unavailable(error.reason, error.step) from error
+        except TimeoutError as error:
+            raise self._unavailable("no whole reply in time", "reply") from error
         self._keep(connection)
         return reply
 
--- a/auburncart/transport/tests/test_store.py
+++ b/auburncart/transport/tests/test_store.py
@@ -1,15 +1,46 @@
 """The store over HTTP against a server that closes kept connections."""
 
 import asyncio
+import contextlib
+import itertools
 import unittest
 
 from auburncart.coordination import TABLE
+from auburncart.exception import StoreUnavailableError
 from auburncart.standins.site import DEMO_TABLE
 from auburncart.transport.store import HttpStore
 
+LONG_SECONDS = 5.0
 REPLY = b'HTTP/1.1 200 OK\r\nETag: "1"\r\nContent-Length: 0\r\n\r\n'
 
 
+class SlowServerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.ended = asyncio.Event()
+        self.server = await asyncio.start_server(self.dribble, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.store = HttpStore(f"{host}:{port}", call_seconds=0.2)
+
+    async def asyncTearDown(self) -> None:
+        self.store.close()
+        self.server.close()
+        await self.server.wait_closed()
+
+    async def dribble(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError):
+            for byte in itertools.cycle(b"HTTP/1.1 200 OK\r\nX: "):
+                writer.write(bytes([byte]))
+                await writer.drain()
+                await asyncio.sleep(0.02)
+        self.ended.set()
+
+    async def test_reply_that_never_ends_is_given_up(self) -> None:
+        async with asyncio.timeout(LONG_SECONDS):
+            with self.assertRaises(StoreUnavailableError):
+                await self.store.read(TABLE)
+            await self.ended.wait()
+
+
 class KeptConnectionTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.closed = asyncio.Event()
