--- a/auburncart/coordination/tests/test_order_interleavings.py
+++ b/auburncart/coordination/tests/test_order_interleavings.py
@@ -18,7 +18,12 @@
 
 
 class OrderMachine(RuleBasedStateMachine):
-    """Sends orders to VMs that are paused, killed and cut off from the platform."""
+    """Sends orders to VMs that are paused, killed and cut off from the platform.
+
+    A ``+`` behind the name of a VM stands for a new process at the same address.
+    """
+
+    owned = False
 
     def __init__(self) -> None:
         super().__init__()
@@ -29,7 +34,7 @@
         self.names = {name: name for name in ("vm1", "vm2", "vm3")}
 
     async def make(self) -> World:
-        return World({})
+        return World({}, owned=self.owned)
 
     @rule(vm=VMS, key=KEYS, body=st.sampled_from(("fix", "fix", "fix", "tear")), wait=WAITS)
     def send(self, vm: str, key: str, body: str, wait: float) -> None:
@@ -116,7 +121,16 @@
         await self.world.close()
 
 
-OrderMachine.TestCase.settings = settings(
+class OwnedOrderMachine(OrderMachine):
+    """The same with changes of claims that go through a relay and an owner."""
+
+    owned = True
+
+
+SETTINGS = settings(
     derandomize=True, max_examples=250, stateful_step_count=25, deadline=None, database=None
 )
 InterleavingTest = OrderMachine.TestCase
+InterleavingTest.settings = SETTINGS
+OwnedInterleavingTest = OwnedOrderMachine.TestCase
+OwnedInterleavingTest.settings = SETTINGS
--- a/auburncart/coordination/tests/test_order_steps.py
+++ b/auburncart/coordination/tests/test_order_steps.py
@@ -93,6 +93,9 @@
         return answer
 
     async def close(self) -> None:
+        for task in self.steps.tasks:
+            task.cancel()
+        await asyncio.gather(*self.steps.tasks, return_exceptions=True)
         for service in self.services.values():
             await service.close(0.0)
         for part in self.parts:
@@ -132,8 +135,8 @@
     def _owned(self, vm: str, direct: StoredClaims) -> Claims:
         if self.network is None:
             return direct
-        own = next(member for member in MEMBERS if member.address == vm)
-        bus = SteppedBus(own, self.network, self.steps)
+        own = next(member for member in MEMBERS if member.address == vm.rstrip("+"))
+        bus = SteppedBus(vm, own, self.network, self.steps)
         return OwnedClaims(direct, FakeMembership(own, MEMBERS), bus, lambda: CENTRES)
 
 
--- a/auburncart/tests/steps.py
+++ b/auburncart/tests/steps.py
@@ -45,6 +45,7 @@
         self._held_until: dict[str, float] = {}
         self._next: dict[str, Fault] = {}
         self.taken = 0
+        self.tasks: list[asyncio.Future[Any]] = []
 
     def heal(self) -> None:
         self._plan = {}
@@ -118,8 +119,9 @@
 class SteppedBus(FakeBus):
     """A bus whose questions are steps of one VM; the asked VM goes on when the asking one ends."""
 
-    def __init__(self, own: Member, network: FakeNetwork, steps: Steps) -> None:
+    def __init__(self, vm: str, own: Member, network: FakeNetwork, steps: Steps) -> None:
         super().__init__(own, network)
+        self._vm = vm
         self._steps = steps
 
     async def ask(
@@ -127,13 +129,14 @@
     ) -> tuple[Any, ...]:
         async def call() -> tuple[Any, ...]:
             answer = asyncio.ensure_future(super(SteppedBus, self).ask(member, question, timeout))
+            self._steps.tasks.append(answer)
             try:
                 async with asyncio.timeout(timeout):
                     return await asyncio.shield(answer)
             except TimeoutError as error:
                 raise LinkError("no answer") from error
 
-        return await self._steps.take(self._own.address, call, lambda: LinkError("cut"))
+        return await self._steps.take(self._vm, call, lambda: LinkError("cut"))
 
 
 class SteppedDialer(UpstreamDialer):
