--- a/auburncart/coordination/gather.py
+++ b/auburncart/coordination/gather.py
@@ -49,6 +49,10 @@
     """Do nothing."""
 
 
+def _never() -> bool:
+    return False
+
+
 class Gather:
     """One search on one pinned snapshot; :meth:`run` is called once.
 
@@ -57,6 +61,7 @@
     :param names: names of the shards asked.
     :param rank: rank of the search.
     :param progress: told how many shards are still open whenever some have ended.
+    :param abandons: asked, once the snapshot is known to be retired, whether to end at once.
     """
 
     def __init__(
@@ -68,9 +73,11 @@
         fleet: Fleet,
         policies: Policies,
         progress: Callable[[int], None] = _ignore_progress,
+        abandons: Callable[[], bool] = _never,
     ) -> None:
         self._request = request
         self._progress = progress
+        self._abandons = abandons
         self._map = shard_map
         self._names = names
         self._rank = rank
@@ -89,7 +96,9 @@
     def retired(self) -> bool:
         """Whether a shard has no answer because upstreams no longer have it or its snapshot."""
         codes = {
-            failure.code for name, failure in self._failures.items() if name not in self._answers
+            failure.code
+            for name, failure in self._failures.items()
+            if name not in self._answers and name not in self._asks
         }
         return bool(codes & {FailureCode.RETIRED, FailureCode.MOVED})
 
@@ -98,8 +107,11 @@
         try:
             await self._test()
             self._ask_rest()
+            self._progress(len(self._asks))
             while self._asks and await self._step(self._request.deadline):
                 self._progress(len(self._asks))
+                if self.retired and self._abandons():
+                    break
         finally:
             self._cancel_rest()
         hits = tuple(hit for name in self._names for hit in self._hits_of(name))
--- a/auburncart/coordination/policies.py
+++ b/auburncart/coordination/policies.py
@@ -4,7 +4,8 @@
 from typing import NamedTuple
 
 from auburncart.coordination.admission import Admission, FirstComeAdmission
-from auburncart.coordination.batching import Batching, OnePerRequest, UpToLimit
+from auburncart.coordination.batching import Batching, OnePerRequest
+from auburncart.coordination.capacity import TOLERANCE
 from auburncart.coordination.choice import ReplicaChoice, RoundRobinChoice
 from auburncart.coordination.drain import Draining, NoDraining
 from auburncart.coordination.hedge import AdaptiveHedging, Hedging, NoHedging
@@ -14,6 +15,8 @@
 from auburncart.coordination.pressure import InFlightLimit, OpenInFlight
 from auburncart.coordination.quarantine import NoQuarantine, Quarantine
 from auburncart.coordination.ranked import RankedAdmission
+from auburncart.coordination.ranked_batching import RankedBatching
+from auburncart.coordination.rates import NoRates, Rates
 from auburncart.coordination.redial import BackoffRedialing, ImmediateRedialing, Redialing
 from auburncart.coordination.retry import BudgetedRetrying, Retrying, RetryThrice
 
@@ -33,6 +36,7 @@
     redialing: Redialing = ImmediateRedialing()
     draining: Draining = NoDraining()
     pressure: Callable[[], InFlightLimit] = OpenInFlight
+    rates: Rates = NoRates()
 
 
 def baseline_policies(places: int, vms: int) -> Policies:
@@ -52,17 +56,23 @@
     )
 
 
-def default_policies(vms: int, sharing: Callable[[], int] | None = None, seed: int = 0) -> Policies:
+def default_policies(
+    vms: int,
+    sharing: Callable[[], int] | None = None,
+    seed: int = 0,
+    tolerance: float = TOLERANCE,
+) -> Policies:
     """Return the policies that the daemon runs with.
 
     :param vms: number of VMs that may connect to one upstream.
     :param sharing: returns the number of VMs that share a limit of a data centre now; by default
         ``vms``.
     :param seed: seed of random draws.
+    :param tolerance: slowing down of sub-queries above which less work is let in.
     """
     return Policies(
-        admission=RankedAdmission(sharing or (lambda: vms)),
-        batching=UpToLimit(),
+        admission=RankedAdmission(sharing or (lambda: vms), tolerance=tolerance),
+        batching=RankedBatching(),
         choice=LeastLoadedChoice(seed),
         hedging=AdaptiveHedging(),
         limit=FixedLimit(vms),
