--- a/auburncart/bench/control.py
+++ b/auburncart/bench/control.py
@@ -1,148 +1,172 @@
-"""Measures what control costs: how soon a table is in force, links, messages, store calls.
-
-Run ``python -m auburncart.bench.control VMS DATA_CENTRES CHANGES CASE SEED``; virtual time, one
-line of JSON. Cases: ``calm``; ``loss``, one message in ten is lost; ``readers``, the VMs that watch
-the store for one data centre stop as the table changes; ``cut``, one data centre is cut off from
-the store and the others as the table changes, for 20 s, and its time counts from the end of the
-cut. Processor time is that of all VMs together in one process.
-"""
+"""Slopes of what one daemon spends: decisions, objects of the store, memory."""
 
 import asyncio
-import json
-import random
-import resource
-import sys
+import gc
 import time
-
-import async_solipsism
-
-from auburncart.coordination import SHARD_MAP, Author, Proposal, TableEditor
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from auburncart.bench.echo import EchoDialer
+from auburncart.bench.fit import Point, Slope, fit
+from auburncart.coordination import SHARD_MAP, TABLE, Node, SilentObserver, default_policies
+from auburncart.protocol.platform import decode_value, encode_value
 from auburncart.standins.fakes import FakeStore
-from auburncart.standins.fleet import MemoryNetwork, Vm, make_fleet
 from auburncart.standins.platform import PlatformModel
-from auburncart.state import Rank, Row, ShardMap
-
-__all__ = ["measure"]
-
-SETTLE_SECONDS = 20.0
-QUIET_SECONDS = 60.0
-BETWEEN_SECONDS = 5.0
-CUT_SECONDS = 20.0
-LOSS = 0.1
-STEP_SECONDS = 0.005
-MOST_SECONDS = 60.0
-ROWS = 50
-FLOORS = (0.0, 0.1, 0.05)
-
-
-class _Run:
-    """One fleet and its figures."""
-
-    def __init__(self, vms: int, data_centres: int, case: str, seed: int) -> None:
-        self.platform = PlatformModel()
-        self.network = MemoryNetwork(seed)
-        self.random = random.Random(seed)
-        self.case = case
-        self.before_kilobytes = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-        self.vms = make_fleet(vms, data_centres, self.platform, self.network)
-        self.editor = TableEditor(FakeStore(self.platform), Author("bench", ""))
-        self.version = 0
-        self.figures: dict[str, object] = {
-            "vms": vms, "data_centres": data_centres, "case": case, "seed": seed
-        }  # fmt: skip
-
-    async def run(self, changes: int) -> dict[str, object]:
-        """Start the fleet, measure it, and end it."""
-        await FakeStore(self.platform).write(SHARD_MAP, ShardMap("s1", 1, {}), "")
-        await self._change()
-        for vm in self.vms:
-            vm.start()
-        await asyncio.sleep(SETTLE_SECONDS)
-        await self._measure_quiet()
-        if self.case == "loss":
-            self.network.loss = LOSS
-        seconds = [await self._measure_change() for _ in range(changes)]
-        self.figures["in_force_seconds"] = {
-            "median": round(sorted(seconds)[len(seconds) // 2], 3),
-            "most": round(max(seconds), 3),
-            "changes": changes,
-        }
-        await asyncio.gather(*(vm.stop() for vm in self.vms))
-        return self.figures
-
-    async def _measure_quiet(self) -> None:
-        network, platform, count = self.network, self.platform, len(self.vms)
-        messages, sent, calls = network.messages, network.sent_bytes, platform.calls
-        began = time.process_time()
-        await asyncio.sleep(QUIET_SECONDS)
-        per_vm = count * QUIET_SECONDS
-        links = [len(vm.group.bus.links) for vm in self.vms]
-        grown = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - self.before_kilobytes
-        self.figures.update(
-            links={"mean": round(sum(links) / count, 1), "most": max(links)},
-            messages_per_vm_second=round((network.messages - messages) / per_vm, 2),
-            bytes_per_vm_second=round((network.sent_bytes - sent) / per_vm),
-            store_calls_per_second=round((platform.calls - calls) / QUIET_SECONDS, 2),
-            processor_ms_per_vm_second=round((time.process_time() - began) * 1e3 / per_vm, 2),
-            kilobytes_per_vm=round(grown / count),
-        )
-
-    async def _measure_change(self) -> float:
-        loop = asyncio.get_running_loop()
-        await asyncio.sleep(BETWEEN_SECONDS * self.random.uniform(0.5, 1.5))
-        began = loop.time()
-        hit = self._hit()
-        await self._change()
-        if self.case == "cut":
-            await asyncio.sleep(CUT_SECONDS)
-            began = loop.time()
-        self._restore(hit if self.case == "cut" else [])
-        left_out = hit if self.case == "readers" else []
-        while any(vm.tables.version < self.version for vm in self.vms if vm not in left_out):
-            if loop.time() - began > MOST_SECONDS:
-                return MOST_SECONDS
-            await asyncio.sleep(STEP_SECONDS)
-        seconds = loop.time() - began
-        self._restore(hit)
-        return seconds
-
-    def _hit(self) -> list[Vm]:
-        centre = self.random.choice(self.vms).group.membership.own.data_centre
-        near = [vm for vm in self.vms if vm.group.membership.own.data_centre == centre]
-        hits = {
-            "readers": [vm for vm in near if vm.group.reads],
-            "cut": near,
-        }.get(self.case, [])
-        for vm in hits:
-            vm.store.cut = True
-            self.network.sides[vm.address] = 1
-            if self.case == "readers":
-                self.network.paused.add(vm.address)
-        return hits
-
-    def _restore(self, hit: list[Vm]) -> None:
-        for vm in hit:
-            vm.store.cut = False
-            self.network.sides.pop(vm.address, None)
-            self.network.paused.discard(vm.address)
-
-    async def _change(self) -> None:
-        self.version += 1
-        rows = tuple(
-            Row(f"customer-{number}", "search", Rank.URGENT, float(self.version))
-            for number in range(ROWS)
-        )
-        change = Proposal(f"c{self.version}", rows, FLOORS, self.version - 1)
-        await self.editor.apply(change, 0.0)
-
-
-def measure(vms: int, data_centres: int, changes: int, case: str, seed: int) -> dict[str, object]:
-    """Run one case on virtual time and return its figures."""
-    with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
-        return runner.run(_Run(vms, data_centres, case, seed).run(changes))
-
-
-if __name__ == "__main__":
-    vms, data_centres, changes, case, seed = sys.argv[1:6]
-    figures = measure(int(vms), int(data_centres), int(changes), case, int(seed))
-    sys.stdout.write(json.dumps(figures) + "\n")
+from auburncart.state import (
+    Rank,
+    Replica,
+    Row,
+    SearchRequest,
+    Shard,
+    ShardMap,
+    Table,
+    TableDocument,
+    find_row,
+)
+
+__all__ = ["SHARD_SIZES", "decision_slopes", "make_map", "make_table", "object_slopes"]
+
+SHARD_SIZES = (10, 52, 200, 1300)
+REPLICA_SIZES = (100, 1000, 10_000)
+ROW_SIZES = (1, 10, 100, 1000)
+SUB_QUERIES = 13_000  # sub-queries of each measurement of searches
+SECONDS_MEASURED = 0.3
+SEARCH_SECONDS = 60.0
+MICROSECONDS = 1e6
+
+
+def make_map(shards: int, replicas: int = 1, version: int = 1) -> ShardMap:
+    """Return a shard map with that many shards of that many replicas."""
+    return ShardMap(
+        f"s{version}",
+        version,
+        {
+            f"shard-{shard:05}": Shard(
+                f"shard-{shard:05}",
+                tuple(
+                    Replica(f"10.{copy}.{shard // 250}.{shard % 250}:8080", "dc1", batch_limit=16)
+                    for copy in range(replicas)
+                ),
+            )
+            for shard in range(shards)
+        },
+    )
+
+
+def make_table(rows: int, version: int = 1) -> TableDocument:
+    """Return a table of that many rows, the last one for customer and kind ``"last"``."""
+    named = [Row(f"customer-{row:04}", "search", Rank.NORMAL) for row in range(rows - 1)]
+    return TableDocument(Table(version, (*named, Row("last", "last", Rank.URGENT))))
+
+
+def decision_slopes() -> list[Slope]:
+    """Measure searches through the decisions alone, over upstreams that answer at once."""
+    searches = fit(
+        "search, decisions only",
+        "shards",
+        "us of a core",
+        [Point(size, asyncio.run(_search_cost(size))) for size in SHARD_SIZES],
+    )
+    memory = fit(
+        "memory of a node after one search over all",
+        "replicas",
+        "bytes",
+        [Point(size, asyncio.run(_node_memory(size))) for size in REPLICA_SIZES],
+    )
+    return [searches, memory]
+
+
+def object_slopes() -> list[Slope]:
+    """Measure the objects of the store: their size, and the time to read them."""
+    maps = {size: make_map(size) for size in REPLICA_SIZES}
+    tables = {size: make_table(size) for size in ROW_SIZES}
+    map_bodies = {size: encode_value(SHARD_MAP, value) for size, value in maps.items()}
+    table_bodies = {size: encode_value(TABLE, value) for size, value in tables.items()}
+    return [
+        fit("shard map", "replicas", "bytes", _sizes(map_bodies)),
+        fit("table without audit", "rows", "bytes", _sizes(table_bodies)),
+        fit(
+            "shard map decoded",
+            "replicas",
+            "us of a core",
+            _times(map_bodies, lambda body: decode_value(SHARD_MAP, body)),
+        ),
+        fit(
+            "table decoded",
+            "rows",
+            "us of a core",
+            _times(table_bodies, lambda body: decode_value(TABLE, body)),
+        ),
+        fit(
+            "row of the table found",
+            "rows",
+            "us of a core",
+            _times(tables, lambda value: find_row(value.table, "last", "last")),
+        ),
+    ]
+
+
+def make_node(shard_map: ShardMap, table: TableDocument) -> Node:
+    """Return a node over upstreams that answer at once."""
+    node = Node(
+        "vm1",
+        "dc1",
+        FakeStore(PlatformModel()),
+        EchoDialer(),
+        default_policies(1),
+        SilentObserver(),
+    )
+    node.catalogue.install(shard_map)
+    node.tables.install(table)
+    return node
+
+
+async def _search_cost(shards: int) -> float:
+    node = make_node(make_map(shards), make_table(10))
+    await _search(node, 0)
+    count = max(5, SUB_QUERIES // shards)
+    before = time.process_time()
+    for number in range(count):
+        await _search(node, number + 1)
+    spent = time.process_time() - before
+    await node.stop()
+    return spent / count * MICROSECONDS
+
+
+async def _node_memory(replicas: int) -> float:
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    node = make_node(make_map(replicas), make_table(10))
+    await _search(node, 0)
+    gc.collect()
+    used = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    await node.stop()
+    return used
+
+
+async def _search(node: Node, number: int) -> None:
+    deadline = asyncio.get_running_loop().time() + SEARCH_SECONDS
+    request = SearchRequest(f"r{number}", "last", "last", "net", deadline)
+    answer = await node.searches.search(request)
+    if answer.is_error() or not answer.ok.coverage.complete:
+        raise RuntimeError(f"a measured search did not complete: {answer}")
+
+
+def _sizes(bodies: dict[int, bytes]) -> list[Point]:
+    return [Point(size, len(body)) for size, body in bodies.items()]
+
+
+def _times(values: dict[int, Any], call: Callable[[Any], object]) -> list[Point]:
+    return [Point(size, _time(call, value)) for size, value in values.items()]
+
+
+def _time(call: Callable[[Any], object], value: Any) -> float:
+    count = 0
+    before = time.process_time()
+    while time.process_time() - before < SECONDS_MEASURED:
+        call(value)
+        count += 1
+    return (time.process_time() - before) / count * MICROSECONDS
--- a/auburncart/coordination/overlay.py
+++ b/auburncart/coordination/overlay.py
@@ -19,6 +19,7 @@
 NEWS_SECONDS = 0.05
 PROBE_SECONDS = 4.0
 IDLE_SECONDS = 10.0
+MOST_SPARE_LINKS = 16
 ROLL_SECONDS = 5.0
 MOST_FAILED_SECONDS = 10.0
 MISMATCHES = 2
@@ -181,8 +182,13 @@
         dialled = {one.member.address for one in self._peers.links if one.dialled}
         for address in dialled & wanted:
             self._unwanted.pop(address, None)
-        for address in sorted(dialled - wanted):
-            if now - self._unwanted.setdefault(address, now) >= IDLE_SECONDS:
+        spare = dialled - wanted
+        for address in sorted(spare):
+            self._unwanted.setdefault(address, now)
+        oldest = sorted(spare, key=lambda address: (self._unwanted[address], address))
+        for place, address in enumerate(oldest):
+            too_many = len(oldest) - place > MOST_SPARE_LINKS
+            if too_many or now - self._unwanted[address] >= IDLE_SECONDS:
                 del self._unwanted[address]
                 await self._peers.hang_up(address, "not needed")
 
--- a/auburncart/daemon/entry.py
+++ b/auburncart/daemon/entry.py
@@ -7,6 +7,7 @@
 import zlib
 
 import eliot
+from eliot import log_message
 
 from auburncart.coordination import Node
 from auburncart.coordination.gate import EveryRankGate, OneRankGate, RankGate
@@ -25,7 +26,6 @@
 __all__ = ["EXIT_CUT_OFF", "Entry", "run_entry"]
 
 EXIT_CUT_OFF = 4
-SETTLE_SECONDS = 5.0
 
 
 class Entry:
@@ -94,13 +94,14 @@
     async def shut_down(self) -> int:
         """Leave without cutting a request off, then end every connection.
 
-        :return: number of requests and orders that had to be cut off all the same.
+        :return: number of requests that had to be cut off all the same.
         """
         settings = self._settings
         times = ShutdownTimes(settings.balancer_lag_seconds, settings.shutdown_seconds)
         self._shutdown = Shutdown(self._node.drain, self._ports, times)
         cut_off = await self._shutdown.run()
-        cut_off += await self._node.orders.close(0.0 if cut_off else SETTLE_SECONDS)
+        unsettled = await self._node.orders.close(0.0 if cut_off else settings.shutdown_seconds)
+        log_message(message_type="orders_closed", unsettled=unsettled)
         await self.stop()
         return cut_off
 
@@ -151,6 +152,7 @@
         group.share_connections(self._shares, self._node.fleet)
         self._node.drain.when_leaving(group.leave)
         self._node.require(lambda: group.ready)
+        self._node.share_claims(group.membership, group.bus)
         return Peering(group, self._settings.peer_address)
 
     def _sharing(self) -> int:
