A restarted process takes its seat over in an outage; connections beyond a bound end at once

Cause: a VM that was restarted while the store was down got no share of the upstreams' connections and was useless until its return. The process that held the seat at that address has ended, so the new one may act as it without a new plan. A VM under a new address still waits for the store and says so.

Cause: connections that never finished the websocket upgrade were bounded by time (2 s) only; 257 and more at once are now ended before a byte is read.

--- a/auburncart/coordination/seating.py
+++ b/auburncart/coordination/seating.py
@@ -76,7 +76,7 @@
         while not self._leaving:
             try:
                 if not self._shares.seated:
-                    await self._change(self._shares.own, ())
+                    await self._join()
                 elif is_reader(self._roster) and self._ended():
                     await self._change(None, self._ended())
                 backoff.reset()
@@ -84,6 +84,19 @@
             except (StoreUnavailableError, StoreConflictError):
                 await asyncio.sleep(backoff.next())
 
+    async def _join(self) -> None:
+        try:
+            await self._change(self._shares.own, ())
+        except StoreUnavailableError:
+            # The process that had a seat at this address has ended: its seat needs no new plan.
+            plans = self._shares.plans
+            for seat in plans.newest.seats if plans else ():
+                if seat.address == self._shares.own.address and seat != self._shares.own:
+                    log_message(message_type="seat_adopted", seat=seat.address)
+                    self._shares.adopt(seat)
+                    return
+            raise
+
     async def give_back(self) -> None:
         """Free this VM's seat; all its connections are closed by now."""
         self._leaving = True
--- a/auburncart/coordination/seats.py
+++ b/auburncart/coordination/seats.py
@@ -106,6 +106,12 @@
         """Whether this VM has a seat in the newest plan known."""
         return self._plans is not None and self._own in self._plans.newest.seats
 
+    def adopt(self, seat: Seat) -> None:
+        """Act as a seat whose process has ended, from the share that this VM holds now: none."""
+        self._own = seat
+        self._granted.clear()
+        self._fresh.clear()
+
     def install(self, plans: SeatPlans) -> bool:
         """Act by newer plans from now on.
 
--- a/auburncart/coordination/tests/test_seating.py
+++ b/auburncart/coordination/tests/test_seating.py
@@ -55,11 +55,12 @@
             self.join()
         await asyncio.sleep(15)
 
-    def join(self) -> Vm:
-        self.number += 1
-        vm = Vm(self.number, "dc0", self.platform, self.network)
-        shares = SeatShares(Seat(vm.address, 1), "dc0", 1)
-        self.vms[vm] = Connections(self, shares, self.number)
+    def join(self, number: int = 0, incarnation: int = 1) -> Vm:
+        self.number += not number
+        number = number or self.number
+        vm = Vm(number, "dc0", self.platform, self.network, incarnation=incarnation)
+        shares = SeatShares(Seat(vm.address, incarnation), "dc0", 1)
+        self.vms[vm] = Connections(self, shares, number)
         vm.group.share_connections(shares, self.vms[vm])
         self.list_vms()
         vm.start()
@@ -169,3 +170,28 @@
         await asyncio.sleep(100)
         await site.seconds_to_full_use(10.0)
         await site.stop()
+
+    @virtual_time
+    async def test_process_restarted_in_an_outage_takes_its_seat_and_a_new_vm_is_not_ready(
+        self,
+    ) -> None:
+        site = Site()
+        await site.begin(3)
+        first, second, _ = site.vms
+        site.platform.set_outage(True)
+        await site.kill(first)
+        await asyncio.sleep(2)
+        seeds = {second.address}
+        again = site.join(1, incarnation=2)
+        new = site.join()
+        for vm in (again, new):
+            vm.group.membership.hints.update(seeds)
+        await site.seconds_to_full_use(20.0)
+        self.assertEqual(again.group.lacking, "no table from the store or a peer")
+        self.assertEqual(sum(site.vms[new].counts.values()), 0)
+        self.assertIn("no seat", new.group.lacking)
+        site.platform.set_outage(False)
+        await asyncio.sleep(40)
+        self.assertGreater(sum(site.vms[new].counts.values()), 0)
+        await site.seconds_to_full_use(1.0)
+        await site.stop()
--- a/auburncart/transport/peer.py
+++ b/auburncart/transport/peer.py
@@ -4,13 +4,11 @@
 import contextlib
 import logging
 from collections.abc import Awaitable, Callable
-from http import HTTPStatus
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection, broadcast
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
-from websockets.http11 import Request, Response
 
 from auburncart.coordination import PeerDialer, PeerLink
 from auburncart.exception import LinkError, ProtocolError
@@ -111,6 +109,16 @@
         return WebSocketLink(connection, address)
 
 
+class _BoundedConnection(ServerConnection):
+    """A connection that ends at once if there are too many, before a byte of it is read."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin, or end."""
+        super().connection_made(transport)
+        if len(self.server.handler_tasks) > MOST_CONNECTIONS:
+            self.transport.abort()
+
+
 class WebSocketListener:
     """Accepts links on a port, each in a task of its own.
 
@@ -122,7 +130,6 @@
         self._address = address
         self._accept = accept
         self._server: Server | None = None
-        self._open = 0
 
     @property
     def address(self) -> str:
@@ -139,7 +146,7 @@
             self._handle,
             host,
             int(port),
-            process_request=self._admit,
+            create_connection=_BoundedConnection,
             compression=None,
             ping_interval=None,
             open_timeout=UPGRADE_SECONDS,
@@ -158,15 +165,6 @@
                 async with asyncio.timeout(2 * CLOSE_SECONDS):
                     await self._server.wait_closed()
 
-    def _admit(self, connection: ServerConnection, request: Request) -> Response | None:
-        if self._open >= MOST_CONNECTIONS:
-            return connection.respond(HTTPStatus.SERVICE_UNAVAILABLE, "too many links\n")
-        return None
-
     async def _handle(self, connection: ServerConnection) -> None:
         host, port = (connection.remote_address or ("", 0))[:2]
-        self._open += 1
-        try:
-            await self._accept(WebSocketLink(connection, f"{host}:{port}"))
-        finally:
-            self._open -= 1
+        await self._accept(WebSocketLink(connection, f"{host}:{port}"))
--- a/auburncart/transport/tests/test_peer.py
+++ b/auburncart/transport/tests/test_peer.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import unittest
 
 import cbor2
@@ -22,7 +23,7 @@
     Versions,
 )
 from auburncart.tests.virtual import virtual_time
-from auburncart.transport.peer import WebSocketDialer, WebSocketListener
+from auburncart.transport.peer import MOST_CONNECTIONS, WebSocketDialer, WebSocketListener
 
 STATUS = StatusNews(Versions(3), True, "")
 
@@ -145,6 +146,25 @@
         self.assertEqual(len(b.peers.links), 0)
         await b.stop()
 
+    @virtual_time
+    async def test_strangers_beyond_a_bound_are_ended_before_they_say_anything(self) -> None:
+        (b,) = await sides(("k",))
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        host, port = b.member.address.split(":")
+        raws = [await asyncio.open_connection(host, int(port)) for _ in range(300)]
+        await asyncio.sleep(0.1)
+        ended = [raw for raw in raws if raw[0].at_eof() or raw[1].is_closing()]
+        self.assertGreaterEqual(len(ended), 300 - MOST_CONNECTIONS)
+        for reader, _ in raws:
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+        self.assertLess(loop.time() - began, 3.0)
+        a = Side("10.0.0.9:7000", "k")
+        self.assertTrue(await a.peers.dial(b.member.address))
+        await a.peers.close("ended")
+        await b.stop()
+
     @virtual_time
     async def test_link_that_falls_silent_is_ended(self) -> None:
         a, b = await sides(("k",), ("k",))
