--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -35,6 +35,8 @@
     :param policies: the policies to decide by.
     :param observer: told of what happens.
     :param epoch: seconds since the epoch at loop time 0.
+    :param tables: the table in force, if it is shared with a :class:`Group`.
+    :param catalogue: the shard map in force, if it is shared with a :class:`Group`.
     """
 
     def __init__(
@@ -46,6 +48,8 @@
         policies: Policies,
         observer: Observer,
         epoch: float = 0.0,
+        tables: TableKeeper | None = None,
+        catalogue: Catalogue | None = None,
     ) -> None:
         self._name = name
         self._data_centre = data_centre
@@ -53,8 +57,8 @@
         self._dialer = dialer
         self._policies = policies
         self._observer = observer
-        self._catalogue = Catalogue()
-        self._tables = TableKeeper()
+        self._catalogue = catalogue or Catalogue()
+        self._tables = tables or TableKeeper()
         self._requirements: list[Callable[[], bool]] = []
         self._drain = Drain(self._prepared)
         policies.admission.follow(self._tables, self._catalogue)
@@ -127,6 +131,7 @@
 
         :param alone: False if a :class:`Group` keeps the table and the shard map up to date.
         """
+        self._tasks.append(asyncio.create_task(self._policies.rates.run(), name="rates"))
         if not alone:
             return
         tables = self._tables.follow(self._store, random.Random(f"{self._name}/table"))
--- a/auburncart/coordination/ranked.py
+++ b/auburncart/coordination/ranked.py
@@ -6,7 +6,7 @@
 from expression import Error, Ok, Result
 
 from auburncart.coordination.admission import Admission, Ticket
-from auburncart.coordination.capacity import AdaptiveCapacity, Capacity
+from auburncart.coordination.capacity import TOLERANCE, AdaptiveCapacity, Capacity, Sample
 from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.lane import Lane, Waiter
 from auburncart.coordination.mailbox import CLOCK_STEP_SECONDS
@@ -27,25 +27,36 @@
     :param in_use: sub-queries at work when it started.
     """
 
-    def __init__(self, admission: "RankedAdmission", waiter: Waiter, in_use: float) -> None:
+    def __init__(
+        self, admission: "RankedAdmission", waiter: Waiter, in_use: dict[Rank, float]
+    ) -> None:
         self._admission = admission
         self._work = waiter.work
         self._in_use = in_use
-        self._started = asyncio.get_running_loop().time()
+        self._started: float | None = None
         self._remaining = waiter.work.cost
         self._measured = False
 
     def progress(self, remaining: int) -> None:
-        """Give up the part of the place that belongs to sub-queries that have ended."""
-        ended = self._remaining - min(self._remaining, remaining)
-        if not ended:
-            return
-        self._remaining -= ended
-        if not self._measured and 2 * self._remaining <= self._work.cost:
-            self._measured = True
-            now = asyncio.get_running_loop().time()
+        """Give up the part of the place that belongs to sub-queries that have ended.
+
+        A search that starts again takes its place anew, with a larger number.
+        """
+        ended = self._remaining - remaining
+        if ended:
+            self._remaining = remaining
+            self._admission._leave(self._work.rank, ended)
+        if not self._measured:
+            self._measure(remaining)
+
+    def _measure(self, remaining: int) -> None:
+        """Take the time from the first word of progress until half of the shards have ended."""
+        now = asyncio.get_running_loop().time()
+        self._measured = 2 * remaining <= self._work.cost
+        if self._started is None:
+            self._started = now
+        elif self._measured and now > self._started:
             self._admission._measure(self._work, now - self._started, self._in_use)
-        self._admission._leave(self._work.rank, ended)
 
     def release(self) -> None:
         """Give up the rest of the place."""
@@ -61,15 +72,21 @@
     is owed its floor of all that is let in, and goes first when it is owed enough.
 
     :param vms: returns the number of VMs that share the slots and a row's ``max_in_flight``.
-    :param capacity: limit on the sub-queries at work; by default one that follows the upstreams.
+    :param capacity: limits on the sub-queries at work; by default such that follow the upstreams.
+    :param tolerance: slowing down that such limits allow.
     """
 
-    def __init__(self, vms: Callable[[], int], capacity: Capacity | None = None) -> None:
+    def __init__(
+        self,
+        vms: Callable[[], int],
+        capacity: Capacity | None = None,
+        tolerance: float = TOLERANCE,
+    ) -> None:
         self._vms = vms
         self._tables: TableKeeper | None = None
         self._catalogue: Catalogue | None = None
-        self._capacity = capacity or AdaptiveCapacity(self._slots_share)
-        self._lanes = {rank: Lane(self._capacity, prompt=rank is Rank.URGENT) for rank in Rank}
+        self._capacity = capacity or AdaptiveCapacity(self._share, tolerance)
+        self._lanes = {rank: Lane(self._capacity, rank) for rank in Rank}
         self._queued: dict[RowKey, int] = {}
         self._at_work: dict[RowKey, int] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -94,7 +111,7 @@
         if refusal is not None:
             return Error(refusal)
         waiter = Waiter(work, row, work.deadline - self._needed())
-        in_use = self._lanes[Rank.BACKGROUND].gate.in_use
+        in_use = {rank: lane.gate.in_use for rank, lane in self._lanes.items()}
         self._enqueue(waiter)
         try:
             async with asyncio.timeout_at(waiter.latest):
@@ -109,9 +126,9 @@
             return Error(self._overloaded("the customer's queue does not empty", self._needed()))
         return Ok(RankedTicket(self, waiter, in_use))
 
-    def _slots_share(self) -> float:
-        slots = self._catalogue.slots if self._catalogue else 0
-        return slots / max(1, self._vms())
+    def _share(self) -> float:
+        room = self._catalogue.room if self._catalogue else 0.0
+        return room / max(1, self._vms())
 
     def _early_refusal(self, work: Work, row: Row) -> Refusal | None:
         now = asyncio.get_running_loop().time()
@@ -155,9 +172,10 @@
         lane.left(waiter)
         _subtract(self._queued, _row_key(work))
 
-    def _measure(self, work: Work, seconds: float, in_use: float) -> None:
+    def _measure(self, work: Work, seconds: float, in_use: dict[Rank, float]) -> None:
         now = asyncio.get_running_loop().time()
-        self._capacity.record(work.kind, seconds, work.cost, in_use, now)
+        queued = {rank for rank, lane in self._lanes.items() if lane.queue}
+        self._capacity.record(Sample(work.kind, seconds, work.cost, in_use, queued), now)
 
     def _leave(self, rank: Rank, cost: int) -> None:
         for other, lane in self._lanes.items():
--- a/auburncart/settings/entry.py
+++ b/auburncart/settings/entry.py
@@ -28,7 +28,8 @@
     :param platform_token: credential for the platform.
     :param general_threads: threads of the general port.
     :param urgent_threads: threads of the urgent port.
-    :param places: most searches at work at the same time.
+    :param load_tolerance: slowing down of sub-queries, against idle upstreams, above which less
+        work is let in; a lower one keeps urgent searches faster, a higher one serves more others.
     :param connecting_vms: number of VMs that share an upstream's connections.
     :param balancer_lag_seconds: time in which the balancer still sends requests to this VM after
         ``/v1/ready`` says 503.
@@ -48,7 +49,7 @@
     platform_token: str = ""
     general_threads: Count = 64
     urgent_threads: Count = 16
-    places: Count = 32
+    load_tolerance: Annotated[float, Field(ge=1.01, le=10)] = 1.15
     connecting_vms: Count = 9
     balancer_lag_seconds: Seconds = 5.0
     shutdown_seconds: Seconds = 30.0
