--- a/auburncart/coordination/group.py
+++ b/auburncart/coordination/group.py
@@ -221,4 +221,4 @@
             await asyncio.sleep(LIST_SECONDS)
 
     def _heartbeat(self) -> Heartbeat:
-        return Heartbeat(self.versions, self._roster.digest)
+        return Heartbeat(self.versions, self._roster.digests)
--- a/auburncart/coordination/overlay.py
+++ b/auburncart/coordination/overlay.py
@@ -96,15 +96,18 @@
             self._verify.add(member.address)
 
     def heard(self, member: Member, heartbeat: Heartbeat) -> None:
-        """Send all that is believed if the two sides differ at first or for long."""
-        if heartbeat.digest == self._roster.digest:
+        """Send what is believed of a data centre if the sides differ at first or for long."""
+        theirs, ours = set(heartbeat.digests), set(self._roster.digests)
+        different = {data_centre for data_centre, _ in theirs ^ ours}
+        if not different:
             self._mismatches.pop(member.address, None)
             return
         count = self._mismatches.get(member.address, 0) + 1
         self._mismatches[member.address] = count
         since = self._now() - self._rolled.get(member.address, -ROLL_SECONDS)
         if count >= MISMATCHES and since >= ROLL_SECONDS:
-            self._send_roll(member.address)
+            self._rolled[member.address] = self._now()
+            self._peers.tell(member.address, self._roster.roll(different))
 
     async def run(self) -> None:
         """Keep the links until cancelled."""
@@ -192,9 +195,5 @@
                 del self._unwanted[address]
                 await self._peers.hang_up(address, "not needed")
 
-    def _send_roll(self, address: str) -> None:
-        self._rolled[address] = self._now()
-        self._peers.tell(address, self._roster.roll())
-
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/auburncart/coordination/tests/test_group.py
+++ b/auburncart/coordination/tests/test_group.py
@@ -100,7 +100,7 @@
         await fleet.seconds_to_all(cut, 15.0)
         await asyncio.sleep(10)
         self.assertEqual({vm.tables.version for vm in fleet.vms}, {2})
-        self.assertEqual(len({vm.group.membership.digest for vm in fleet.vms}), 1)
+        self.assertEqual(len({vm.group.membership.digests for vm in fleet.vms}), 1)
         await fleet.stop()
 
     @virtual_time
--- a/auburncart/transport/tests/test_peer.py
+++ b/auburncart/transport/tests/test_peer.py
@@ -36,7 +36,7 @@
         self.facts: list[tuple[object, Member]] = []
         self.peers = Peers(
             lambda: self.member,
-            lambda: Heartbeat(Versions(), 0),
+            lambda: Heartbeat(Versions()),
             WebSocketDialer(),
             KeyRing(keys),
             SilentObserver(),
@@ -104,7 +104,7 @@
             b"\xff": "CBOR",
             "text": "text frame",
             encode_message(Goodbye("x")): "before the greeting",
-            encode_message(Heartbeat(Versions(9), 0)): "before the greeting",
+            encode_message(Heartbeat(Versions(9))): "before the greeting",
             cbor2.dumps([0, 1, ["10.0.0.9:7000", "dc1", "1"], "n"]): "Expected `int`",
             cbor2.dumps([99]): "unknown number",
             cbor2.dumps([0, 2, ["a", "b", 1, "live"], "n"]): "version 2",
