--- a/auburncart/coordination/membership.py
+++ b/auburncart/coordination/membership.py
@@ -9,7 +9,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Container, Iterator
 from typing import NamedTuple
 
 import xxhash
@@ -63,7 +63,7 @@
         self._listed: dict[str, float] = {}
         self._fresh: dict[str, MemberNews] = {}
         self._wake: Callable[[], None] = lambda: None
-        self._digest: int | None = None
+        self._digests: tuple[tuple[str, int], ...] | None = None
 
     @property
     def own(self) -> Member:
@@ -76,11 +76,11 @@
         return self._hints
 
     @property
-    def digest(self) -> int:
-        """Digest of the members believed live or leaving; equal on VMs that agree."""
-        if self._digest is None:
-            self._digest = self._make_digest()
-        return self._digest
+    def digests(self) -> tuple[tuple[str, int], ...]:
+        """Each data centre with a digest of its members not gone; equal on VMs that agree."""
+        if self._digests is None:
+            self._digests = self._make_digests()
+        return self._digests
 
     def live(self, data_centre: str) -> tuple[Member, ...]:
         """Return the VMs of a data centre that are live or only suspected, by address."""
@@ -139,9 +139,11 @@
         fresh, self._fresh = self._fresh, {}
         return Roll(tuple(fresh.values()))
 
-    def roll(self) -> Roll:
-        """Return all that is believed, for a VM that may know less."""
-        return Roll((self._own, *(record.news for record in self._records.values())))
+    def roll(self, data_centres: Container[str]) -> Roll:
+        """Return all that is believed of some data centres, for a VM that may know less."""
+        return Roll(
+            tuple(news for news in self._all_news() if news.member.data_centre in data_centres)
+        )
 
     def heard(self, member: Member) -> None:
         """Take in that a member has proved a key just now."""
@@ -192,7 +194,7 @@
         if old is not None and old.member.condition is member.condition:
             record = record._replace(since=old.since)
         self._records[member.address] = record
-        self._digest = None
+        self._digests = None
         return True
 
     def tick(self) -> None:
@@ -234,18 +236,23 @@
 
     def _say(self, member: Member) -> None:
         self._own = MemberNews(member, self._own.turn + 1)
-        self._digest = None
+        self._digests = None
         self._pass_on(self._own)
 
     def _pass_on(self, news: MemberNews) -> None:
         self._fresh[news.member.address] = news
         self._wake()
 
-    def _make_digest(self) -> int:
-        digest = 0
-        for news in self.roll().news:
+    def _all_news(self) -> Iterator[MemberNews]:
+        yield self._own
+        yield from (record.news for record in self._records.values())
+
+    def _make_digests(self) -> tuple[tuple[str, int], ...]:
+        digests: dict[str, int] = {}
+        for news in self._all_news():
             if news.member.condition in COUNTED:
                 member = news.member
                 text = f"{member.address}|{member.incarnation}|{news.turn}|{member.condition.value}"
-                digest ^= xxhash.xxh64_intdigest(text.encode())
-        return digest
+                before = digests.get(member.data_centre, 0)
+                digests[member.data_centre] = before ^ xxhash.xxh64_intdigest(text.encode())
+        return tuple(sorted(digests.items()))
--- a/auburncart/state/link.py
+++ b/auburncart/state/link.py
@@ -54,11 +54,11 @@
     """Sign of life, sent every second and at each change of a version.
 
     :param versions: what is in force at the sender.
-    :param digest: digest of the members that the sender believes live.
+    :param digests: each data centre with a digest of what the sender believes of its members.
     """
 
     versions: Versions
-    digest: int
+    digests: tuple[tuple[str, int], ...] = ()
 
 
 class Publication(NamedTuple):
