A request cut short does not make its upstream look fast; exchange and settlement modules

Its time is now taken as at least the average so far, and it tells the adaptive limit nothing. Upstream is split into its queue, the exchange of one request, and the settlement of its end.

--- a/auburncart/coordination/connections.py
+++ b/auburncart/coordination/connections.py
@@ -87,6 +87,11 @@
         self._refusal = ""
         self._refused_since: float | None = None
 
+    @property
+    def address(self) -> str:
+        """``"IP:port"`` of the upstream."""
+        return self._replica.address
+
     @property
     def connections(self) -> int:
         """Number of connections held or being opened."""
--- /dev/null
+++ b/auburncart/coordination/exchange.py
@@ -0,0 +1,74 @@
+"""One request over one connection to an upstream."""
+
+import asyncio
+
+from auburncart.coordination.connections import ConnectionPool
+from auburncart.coordination.health import failure_of
+from auburncart.coordination.interfaces import UpstreamConnection
+from auburncart.coordination.job import OrderJob
+from auburncart.exception import UpstreamError
+from auburncart.state import Batch, BatchReply, FailureCode
+
+__all__ = ["send_batch", "send_order"]
+
+STALE_SECONDS = 1.0  # an upstream may close a connection that is idle for longer
+
+
+async def send_batch(
+    pool: ConnectionPool, batch: Batch, connection: UpstreamConnection
+) -> tuple[BatchReply, UpstreamConnection]:
+    """Send a batch, and once more over a new connection if an idle one had been closed.
+
+    :return: the reply and the connection that it came over.
+    :raises UpstreamError: no matching reply; that connection is not to be used again.
+    """
+    idle = pool.idle_seconds(connection)
+    try:
+        return await connection.search(batch), connection
+    except UpstreamError as error:
+        if idle < STALE_SECONDS or failure_of(error).code is not FailureCode.LOST:
+            raise
+        await pool.drop(connection)
+        try:
+            fresh = await pool.dial()
+        except UpstreamError:
+            raise error from None
+    try:
+        return await fresh.search(batch), fresh
+    except BaseException:
+        await pool.drop(fresh)
+        raise
+
+
+async def send_order(
+    pool: ConnectionPool, job: OrderJob, connection: UpstreamConnection
+) -> UpstreamConnection | None:
+    """Send an order over a new connection.
+
+    A kept one may have been closed by the other side: its error would say nothing of whether
+    the order arrived.
+
+    :param connection: a connection that may be kept.
+    :return: the connection if it can be used again.
+    """
+    if not job.waited_for:
+        return connection
+    fresh: UpstreamConnection | None = connection if pool.is_new(connection) else None
+    if fresh is None:
+        await pool.drop(connection)
+    try:
+        fresh = fresh or await pool.dial()
+        if job.waited_for and asyncio.get_running_loop().time() < job.order.deadline:
+            job.sent = True
+            job.answer(await fresh.order(job.order))
+        return fresh
+    except UpstreamError as error:
+        job.fail(error)
+    except BaseException:
+        job.fail(UpstreamError("closed", step="send", peer=pool.address, sent=job.sent))
+        if fresh is not None:
+            await pool.drop(fresh)
+        raise
+    if fresh is not None:
+        await pool.drop(fresh)
+    return None
--- a/auburncart/coordination/gather.py
+++ b/auburncart/coordination/gather.py
@@ -162,11 +162,9 @@
 
         That costs no extra load, since that shard has to be asked anyway.
         """
-        upstream = self._fleet.get(ask.jobs[0].address) if ask.jobs else None
-        if upstream is None:
-            return CANARY_SECONDS
-        late = self._policies.hedging.delay(self._rank, upstream) or CANARY_SECONDS
-        return min(upstream.latency or late, late)
+        candidates = self._fleet.candidates(self._map.shards[ask.name])
+        latencies = [upstream.latency for upstream in candidates if upstream.latency]
+        return min(latencies, default=CANARY_SECONDS)
 
     def _ask_rest(self) -> None:
         run = self._run(self._names[0])
--- a/auburncart/coordination/health.py
+++ b/auburncart/coordination/health.py
@@ -40,14 +40,22 @@
         self.condition_since = 0.0
         self.refused_leaving_at: float | None = None
 
-    def record_reply(self, seconds: float, condition: UpstreamCondition, now: float) -> None:
+    def record_reply(
+        self,
+        seconds: float,
+        condition: UpstreamCondition,
+        now: float,
+        cut_short: bool = False,
+    ) -> None:
         """Take in a reply.
 
         :param seconds: time from sending to reply.
         :param condition: condition that it reports.
         :param now: loop time in seconds.
+        :param cut_short: whether the request was cancelled; it would have taken longer.
         """
         self.failures = 0
+        seconds = max(seconds, self.latency) if cut_short else seconds
         weight = LATENCY_WEIGHT if self.latency else 1.0
         self.latency += weight * (seconds - self.latency)
         if condition is not self.condition:
--- /dev/null
+++ b/auburncart/coordination/settlement.py
@@ -0,0 +1,92 @@
+"""What the end of a request tells of its upstream, and hands to the jobs in it."""
+
+import asyncio
+
+from auburncart.coordination.health import UpstreamHealth
+from auburncart.coordination.job import Job
+from auburncart.coordination.pressure import InFlightLimit
+from auburncart.coordination.quarantine import Quarantine
+from auburncart.state import BatchReply, Failure, FailureCode, Step, UpstreamCondition
+
+__all__ = ["Settlement"]
+
+
+class Settlement:
+    """Ends the jobs of a request, and takes in what its reply or failure tells.
+
+    :param address: the upstream.
+    :param health: its health.
+    :param pressure: its limit of requests at work.
+    :param quarantine: told which queries were lost or answered.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        health: UpstreamHealth,
+        pressure: InFlightLimit,
+        quarantine: Quarantine,
+    ) -> None:
+        self._address = address
+        self._health = health
+        self._pressure = pressure
+        self._quarantine = quarantine
+
+    def lose(self, jobs: tuple[Job, ...], failure: Failure, in_flight: int) -> None:
+        """Fail the jobs of a request without a reply.
+
+        :param in_flight: requests at work, this one among them.
+        """
+        now = asyncio.get_running_loop().time()
+        self._health.record_failure(failure, now)
+        if failure.code is FailureCode.SHED:
+            self._pressure.record_shed(in_flight, now)
+        if failure.code is FailureCode.LOST and failure.sent:
+            runs = tuple(job.run for job in jobs)
+            self._quarantine.record_loss(self._address, runs, jobs[0].isolated, now)
+        fail_all(jobs, failure)
+
+    def settle(self, jobs: tuple[Job, ...], reply: BatchReply, in_flight: int) -> bool:
+        """Hand a reply to the jobs of its request.
+
+        :param in_flight: requests at work, this one among them.
+        :return: whether the upstream begins to report that it leaves.
+        """
+        now = asyncio.get_running_loop().time()
+        before = self._health.condition
+        self._learn(jobs, reply, in_flight, now)
+        for job in jobs:
+            self._end(job, reply, now)
+        condition = self._health.condition
+        return condition is UpstreamCondition.DRAINING and condition is not before
+
+    def _learn(self, jobs: tuple[Job, ...], reply: BatchReply, in_flight: int, now: float) -> None:
+        seconds = now - jobs[0].sent_at
+        abandoned = all(job.cancelled for job in jobs)
+        self._health.record_reply(seconds, reply.condition, now, cut_short=abandoned)
+        codes = {failure.code for failure in reply.failures.values()}
+        if FailureCode.DRAINING in codes:
+            self._health.record_refusal_to_leave(now)
+        if FailureCode.SHED in codes or reply.condition is UpstreamCondition.SHEDDING:
+            self._pressure.record_shed(in_flight, now)
+        elif not abandoned:
+            self._pressure.record_reply(seconds, len(jobs), in_flight, now)
+
+    def _end(self, job: Job, reply: BatchReply, now: float) -> None:
+        answer = reply.answers.get(job.sub.sub_id)
+        if answer is not None:
+            self._quarantine.record_answer(job.run, now)
+            job.answer(answer)
+        else:
+            job.fail(reply.failures.get(job.sub.sub_id, self._unmatched()))
+
+    def _unmatched(self) -> Failure:
+        return Failure(
+            Step.MATCH, self._address, "no matching answer in the reply", FailureCode.MISMATCH
+        )
+
+
+def fail_all(jobs: tuple[Job, ...], failure: Failure) -> None:
+    """Fail each job of a request."""
+    for job in jobs:
+        job.fail(failure)
--- a/auburncart/coordination/tests/test_upstream.py
+++ b/auburncart/coordination/tests/test_upstream.py
@@ -222,6 +222,21 @@
         self.assertEqual(bench.model.open_connections, bench.upstream.connections)
         await bench.upstream.close()
 
+    @virtual_time
+    async def test_a_request_cut_short_does_not_make_its_upstream_look_fast(self) -> None:
+        bench = Bench(connections=2)
+        bench.model.set_slow(100.0)
+        bench.submit(2)
+        await bench.results(2, 1.0)
+        slow = bench.upstream.latency
+        for _ in range(20):
+            (job,) = bench.submit(1)
+            await asyncio.sleep(0.01)
+            bench.upstream.cancel(job)
+            await asyncio.sleep(0.01)
+        await bench.upstream.close()
+        self.assertGreaterEqual(bench.upstream.latency, slow)
+
     @virtual_time
     async def test_order_stays_within_the_connection_limit(self) -> None:
         bench = Bench(connections=2)
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -10,6 +10,7 @@
 
 from auburncart.coordination.batching import Batching
 from auburncart.coordination.connections import ConnectionPool, Errand, Errands
+from auburncart.coordination.exchange import send_batch, send_order
 from auburncart.coordination.health import UpstreamHealth, failure_of
 from auburncart.coordination.interfaces import UpstreamConnection, UpstreamDialer
 from auburncart.coordination.job import Job, OrderJob
@@ -19,6 +20,7 @@
 from auburncart.coordination.pressure import InFlightLimit, OpenInFlight
 from auburncart.coordination.quarantine import Quarantine
 from auburncart.coordination.redial import ImmediateRedialing, Redialing
+from auburncart.coordination.settlement import Settlement, fail_all
 from auburncart.exception import (
     UpstreamError,
 )
@@ -39,7 +41,6 @@
 OUTAGE_SECONDS = 1.0  # time for which searches wait for an upstream that refuses connections
 LONG_PAUSE_SECONDS = 0.1  # an upstream left alone for longer fails its jobs at once
 RESUME_SLACK_SECONDS = 0.001
-STALE_SECONDS = 1.0  # an upstream may close a connection that is idle for longer
 _request_numbers = itertools.count(1)
 
 
@@ -80,11 +81,11 @@
         self._local = local
         self._name = name
         self._limit = limit
-        self._quarantine = quarantine
         self._observer = observer
         self._pressure = pressure or OpenInFlight(replica)
         self._on_leaving = on_leaving
         self._health = UpstreamHealth()
+        self._settlement = Settlement(replica.address, self._health, self._pressure, quarantine)
         self._queue = JobQueue(replica, batching, quarantine)
         self._orders: deque[OrderJob] = deque()
         self._open_orders = 0
@@ -167,7 +168,7 @@
         now = asyncio.get_running_loop().time()
         since = self._pool.refused_since
         refusing = since is not None and now - since > OUTAGE_SECONDS
-        return refusing or self._pressure.resumes_at() - now > LONG_PAUSE_SECONDS
+        return refusing or self._left_alone_for_long()
 
     @property
     def free(self) -> bool:
@@ -187,7 +188,7 @@
         if not self.ready:
             job.fail(self._pool.unready())
             return
-        if self._pressure.resumes_at() - job.queued_at > LONG_PAUSE_SECONDS:
+        if self._left_alone_for_long():
             job.fail(self._shed())
             return
         self._queue.add(job)
@@ -290,7 +291,7 @@
         if self._cancels:
             return functools.partial(self._tell, self._cancels.popleft())
         if self._orders:
-            return functools.partial(self._carry_out, self._orders.popleft())
+            return functools.partial(send_order, self._pool, self._orders.popleft())
         now = asyncio.get_running_loop().time()
         return functools.partial(self._search, self._queue.take(self._isolated_at_work(), now))
 
@@ -307,36 +308,6 @@
             return None
         return connection
 
-    async def _carry_out(
-        self, job: OrderJob, connection: UpstreamConnection
-    ) -> UpstreamConnection | None:
-        """Send an order over a new connection.
-
-        A kept one may have been closed by the other side: its error would say nothing of whether
-        the order arrived.
-        """
-        if not job.waited_for:
-            return connection
-        fresh: UpstreamConnection | None = connection if self._pool.is_new(connection) else None
-        if fresh is None:
-            await self._pool.drop(connection)
-        try:
-            fresh = fresh or await self._pool.dial()
-            if job.waited_for and asyncio.get_running_loop().time() < job.order.deadline:
-                job.sent = True
-                job.answer(await fresh.order(job.order))
-            return fresh
-        except UpstreamError as error:
-            job.fail(error)
-        except BaseException:
-            job.fail(UpstreamError("closed", step="send", peer=self.address, sent=job.sent))
-            if fresh is not None:
-                await self._pool.drop(fresh)
-            raise
-        if fresh is not None:
-            await self._pool.drop(fresh)
-        return None
-
     async def _search(
         self, jobs: tuple[Job, ...], connection: UpstreamConnection
     ) -> UpstreamConnection | None:
@@ -345,13 +316,13 @@
         batch = self._batch(jobs)
         self._running[batch.request_id] = jobs
         try:
-            reply, connection = await self._exchange(batch, connection)
+            reply, connection = await send_batch(self._pool, batch, connection)
             self._settle(jobs, reply)
             return connection
         except UpstreamError as error:
             self._lose(jobs, failure_of(error))
         except asyncio.CancelledError:
-            self._fail(jobs, Failure(Step.REPLY, self.address, "the connection was closed"))
+            fail_all(jobs, Failure(Step.REPLY, self.address, "the connection was closed"))
             raise
         except Exception as error:
             write_traceback()
@@ -362,27 +333,6 @@
         await self._pool.drop(connection)
         return None
 
-    async def _exchange(
-        self, batch: Batch, connection: UpstreamConnection
-    ) -> tuple[BatchReply, UpstreamConnection]:
-        """Send a batch, and once more over a new connection if an idle one had been closed."""
-        idle = self._pool.idle_seconds(connection)
-        try:
-            return await connection.search(batch), connection
-        except UpstreamError as error:
-            if idle < STALE_SECONDS or failure_of(error).code is not FailureCode.LOST:
-                raise
-            await self._pool.drop(connection)
-            try:
-                fresh = await self._pool.dial()
-            except UpstreamError:
-                raise error from None
-        try:
-            return await fresh.search(batch), fresh
-        except BaseException:
-            await self._pool.drop(fresh)
-            raise
-
     def _batch(self, jobs: tuple[Job, ...]) -> Batch:
         request_id = f"{self._name}-{next(_request_numbers)}"
         now = asyncio.get_running_loop().time()
@@ -394,55 +344,23 @@
         return Batch(request_id, jobs[0].sub.snapshot, deadline, tuple(job.sub for job in jobs))
 
     def _lose(self, jobs: tuple[Job, ...], failure: Failure) -> None:
-        now = asyncio.get_running_loop().time()
-        self._health.record_failure(failure, now)
-        if failure.code is FailureCode.SHED:
-            self._back_off(now)
-        if failure.code is FailureCode.LOST and failure.sent:
-            runs = tuple(job.run for job in jobs)
-            self._quarantine.record_loss(self.address, runs, jobs[0].isolated, now)
-        self._fail(jobs, failure)
-
-    def _fail(self, jobs: tuple[Job, ...], failure: Failure) -> None:
-        for job in jobs:
-            job.fail(failure)
+        self._settlement.lose(jobs, failure, len(self._running))
+        self._move_if_shed()
 
     def _settle(self, jobs: tuple[Job, ...], reply: BatchReply) -> None:
-        now = asyncio.get_running_loop().time()
-        seconds = now - jobs[0].sent_at
-        was = self._health.condition
-        self._health.record_reply(seconds, reply.condition, now)
-        if FailureCode.DRAINING in {failure.code for failure in reply.failures.values()}:
-            self._health.record_refusal_to_leave(now)
-        if self._is_shed(reply):
-            self._back_off(now)
-        else:
-            self._pressure.record_reply(seconds, len(jobs), len(self._running), now)
-        for job in jobs:
-            answer = reply.answers.get(job.sub.sub_id)
-            if answer is not None:
-                self._quarantine.record_answer(job.run, now)
-                job.answer(answer)
-            else:
-                job.fail(reply.failures.get(job.sub.sub_id, self._unmatched()))
-        began = self.condition is UpstreamCondition.DRAINING and was is not self.condition
-        if began and self._on_leaving is not None:
+        leaving = self._settlement.settle(jobs, reply, len(self._running))
+        self._move_if_shed()
+        if leaving and self._on_leaving is not None:
             self._on_leaving(self)
 
-    def _back_off(self, now: float) -> None:
-        self._pressure.record_shed(len(self._running), now)
-        if self._pressure.resumes_at() - now > LONG_PAUSE_SECONDS:
+    def _move_if_shed(self) -> None:
+        if self._left_alone_for_long():
             self.withdraw(self._shed())
 
+    def _left_alone_for_long(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return self._pressure.resumes_at() - now > LONG_PAUSE_SECONDS
+
     def _shed(self) -> Failure:
         reason = "left alone for a moment after it shed work"
         return Failure(Step.QUEUE, self.address, reason, FailureCode.SHED, False)
-
-    def _is_shed(self, reply: BatchReply) -> bool:
-        codes = {failure.code for failure in reply.failures.values()}
-        return reply.condition is UpstreamCondition.SHEDDING or FailureCode.SHED in codes
-
-    def _unmatched(self) -> Failure:
-        return Failure(
-            Step.MATCH, self.address, "no matching answer in the reply", FailureCode.MISMATCH
-        )
