--- a/auburncart/coordination/drain.py
+++ b/auburncart/coordination/drain.py
@@ -19,7 +19,7 @@
 
 __all__ = ["UPSTREAM_STATUS", "Draining", "NoDraining", "SignedDraining"]
 
-UPSTREAM_STATUS: Key[UpstreamStatus] = Key("status", "upstreams")
+UPSTREAM_STATUS: Key[UpstreamStatus] = Key("upstreams", "status")
 
 DROPPED_SECONDS = 2.0  # time for which searches on an older shard map still use a dropped upstream
 REFUSED_SECONDS = 60.0  # time for which an upstream that refused work as it leaves gets none
--- a/auburncart/coordination/fleet.py
+++ b/auburncart/coordination/fleet.py
@@ -29,6 +29,15 @@
         """Return the upstreams that hold a shard; those not known yet are made."""
         return [self._of(replica) for replica in shard.replicas]
 
+    def adjust(self) -> None:
+        """See that the connections held follow a change of their limits."""
+        for upstream in self:
+            upstream.trim()
+
+    def held(self) -> list[tuple[Replica, int]]:
+        """Return the number of connections held to each replica."""
+        return [(upstream.replica, upstream.connections) for upstream in self]
+
     async def retain(self, shard_map: ShardMap) -> None:
         """Close the upstreams that a shard map names no more and that are idle."""
         named = {
--- a/auburncart/coordination/jobqueue.py
+++ b/auburncart/coordination/jobqueue.py
@@ -77,7 +77,7 @@
         return ()
 
     def _batch(self, first: Job, queue: dict[Job, None], now: float) -> tuple[Job, ...]:
-        size = self._batching.size(self._replica, len(self))
+        size = self._batching.size(self._replica, len(queue), first.rank)
         jobs = [first]
         for job in tuple(queue) if size > 1 else ():
             if len(jobs) >= size:
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -8,12 +8,16 @@
     NoAnswer,
     QueryLoss,
     Roll,
+    SeatAsk,
+    SeatNews,
+    SeatSeen,
     StatusAsk,
     StatusNews,
     TableAsk,
     TableNews,
 )
 from auburncart.state.failure import Failure, FailureCode, Ran, Refusal, RefusalCode, Step
+from auburncart.state.leaving import UpstreamStatus
 from auburncart.state.link import (
     MESSAGES,
     Answer,
@@ -41,6 +45,7 @@
     Verdict,
 )
 from auburncart.state.query import QueryRun, query_digest
+from auburncart.state.rate import RateDemand, RateGrant, RateGrants, RateReport
 from auburncart.state.search import (
     Coverage,
     Hit,
@@ -51,8 +56,9 @@
     SubQuery,
     coverage_of,
 )
+from auburncart.state.seat import Seat, SeatPlan, SeatPlans
 from auburncart.state.shards import Replica, Shard, ShardMap
-from auburncart.state.status import UpstreamStatus
+from auburncart.state.status import CentreStatus, VmStatus
 from auburncart.state.table import (
     AuditArchive,
     AuditEntry,
@@ -77,6 +83,7 @@
     "AuditEntry",
     "Batch",
     "BatchReply",
+    "CentreStatus",
     "Claim",
     "ClaimBucket",
     "ClaimChange",
@@ -113,6 +120,10 @@
     "Question",
     "Ran",
     "Rank",
+    "RateDemand",
+    "RateGrant",
+    "RateGrants",
+    "RateReport",
     "Refusal",
     "RefusalCode",
     "Replica",
@@ -120,6 +131,12 @@
     "Row",
     "SearchAnswer",
     "SearchRequest",
+    "Seat",
+    "SeatAsk",
+    "SeatNews",
+    "SeatPlan",
+    "SeatPlans",
+    "SeatSeen",
     "Shard",
     "ShardAnswer",
     "ShardMap",
@@ -136,6 +153,7 @@
     "UpstreamStatus",
     "Verdict",
     "Versions",
+    "VmStatus",
     "Work",
     "coverage_of",
     "find_row",
--- a/auburncart/state/status.py
+++ b/auburncart/state/status.py
@@ -1,14 +1,36 @@
-"""What the platform says of the upstreams."""
+"""What is in force on the VMs of a data centre, as the operators see it."""
 
 from typing import NamedTuple
 
-__all__ = ["UpstreamStatus"]
+from auburncart.state.link import Versions
+from auburncart.state.member import Member
 
+__all__ = ["CentreStatus", "VmStatus"]
 
-class UpstreamStatus(NamedTuple):
-    """The platform's view of the upstreams, which may lag or mislead.
 
-    :param leaving: addresses of the upstreams that are about to leave.
+class VmStatus(NamedTuple):
+    """One VM.
+
+    :param member: the VM with its condition.
+    :param versions: what is in force on it, None if it gave no answer.
+    :param lacking: what it lacks to be ready, ``""`` if nothing.
+    """
+
+    member: Member
+    versions: Versions | None
+    lacking: str
+
+
+class CentreStatus(NamedTuple):
+    """The VMs of one data centre.
+
+    :param data_centre: the data centre.
+    :param when: seconds since the epoch.
+    :param reporter: address of the VM that asked the others.
+    :param vms: the VMs by address.
     """
 
-    leaving: tuple[str, ...] = ()
+    data_centre: str
+    when: float
+    reporter: str
+    vms: tuple[VmStatus, ...]
