--- a/auburncart/bench/run.py
+++ b/auburncart/bench/run.py
@@ -19,7 +19,7 @@
 from auburncart.exception import InputError
 from auburncart.state import Rank, SearchRequest
 
-__all__ = ["Run", "RunResult", "run_case"]
+__all__ = ["Run", "RunResult", "loop_factory", "run_case"]
 
 WARM_UP_SECONDS = 1.0
 POISON_INTERVAL_SECONDS = 0.25
@@ -160,7 +160,7 @@
     :raises InputError: a name is not known, or the virtual clock is not installed.
     """
     found = find_case(case)
-    factory = _loop_factory()
+    factory = loop_factory()
     with warnings.catch_warnings(), asyncio.Runner(loop_factory=factory) as runner:
         warnings.simplefilter("ignore")
         return runner.run(_measure(site, found, policies, seed, seconds))
@@ -172,7 +172,11 @@
     return await Run(site, case, policies, seed, seconds).measure()
 
 
-def _loop_factory() -> Any:
+def loop_factory() -> Any:
+    """Return the class of loops whose clock is virtual.
+
+    :raises InputError: it is not installed.
+    """
     try:
         import async_solipsism
     except ImportError as error:
