--- /dev/null
+++ b/auburncart/bench/peers.py
@@ -0,0 +1,199 @@
+"""Slopes of what one VM's part in the tier costs: heartbeats, news, restarts."""
+
+import asyncio
+import gc
+import time
+import tracemalloc
+import warnings
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from auburncart.bench.control import make_map, make_table
+from auburncart.bench.fit import Point, Slope, fit
+from auburncart.bench.run import loop_factory
+from auburncart.coordination import SHARD_MAP, TABLE
+from auburncart.protocol.platform import encode_value, object_path
+from auburncart.standins.platform import PlatformModel
+from auburncart.tests.fleet import MemoryNetwork, Vm, make_fleet
+
+__all__ = ["PEER_SIZES", "peer_slopes"]
+
+PEER_SIZES = (3, 10, 30, 100)
+DATA_CENTRES = 3
+SETTLE_SECONDS = 20.0
+IDLE_SECONDS = 20.0
+CHANGES = 10
+RESTARTS = 5
+RESTART_INTERVAL_SECONDS = 4.0
+ROWS = 10
+REPLICAS = 106
+
+
+class Spent(NamedTuple):
+    """What all VMs of a fleet spent in a stretch of time.
+
+    :param cpu: seconds of a core.
+    :param seconds: virtual seconds.
+    :param calls: calls to the store.
+    """
+
+    cpu: float
+    seconds: float
+    sent_bytes: int
+    messages: int
+    calls: int
+
+
+class FleetCost(NamedTuple):
+    """What a fleet of one size spends."""
+
+    idle: Spent
+    changes: Spent
+    restarts: Spent
+
+
+class _Fleet:
+    """Some VMs that share a platform and a network in memory with the real encoding."""
+
+    def __init__(self, count: int) -> None:
+        self.platform = PlatformModel()
+        self.network = MemoryNetwork()
+        self.vms = make_fleet(count, DATA_CENTRES, self.platform, self.network)
+        self._count = count
+        self._tag = ""
+
+    async def start(self) -> None:
+        body = encode_value(SHARD_MAP, make_map(REPLICAS))
+        await self.platform.write(object_path(SHARD_MAP), body, "")
+        await self.change(1)
+        for vm in self.vms:
+            vm.start()
+        await asyncio.sleep(SETTLE_SECONDS)
+
+    async def change(self, version: int) -> None:
+        body = encode_value(TABLE, make_table(ROWS, version))
+        self._tag = await self.platform.write(object_path(TABLE), body, self._tag)
+
+    async def restart(self, number: int) -> None:
+        place = number % self._count
+        old = self.vms[place]
+        await old.kill()
+        centre = f"dc{place % DATA_CENTRES}"
+        self.vms[place] = Vm(place, centre, self.platform, self.network, (), number + 2)
+        self.vms[place].start()
+
+    async def stop(self) -> None:
+        await asyncio.gather(*(vm.stop() for vm in self.vms))
+
+    async def spend(self, work: Callable[[], Awaitable[None]]) -> Spent:
+        loop = asyncio.get_running_loop()
+        network, platform = self.network, self.platform
+        before = time.process_time(), loop.time()
+        counts = network.sent_bytes, network.messages, platform.calls
+        await work()
+        return Spent(
+            time.process_time() - before[0],
+            loop.time() - before[1],
+            network.sent_bytes - counts[0],
+            network.messages - counts[1],
+            platform.calls - counts[2],
+        )
+
+
+def peer_slopes() -> list[Slope]:
+    """Measure fleets of several sizes on virtual time; links carry the real encoding in memory."""
+    costs = {size: _run(_fleet_cost(size)) for size in PEER_SIZES}
+    memory = [Point(size, _run(_fleet_memory(size)) / size) for size in PEER_SIZES]
+    return [
+        _slope("idle", "bytes/s sent by a VM", costs, lambda c, n: _rate(c.idle.sent_bytes, c, n)),
+        _slope("idle", "messages/s sent by a VM", costs, lambda c, n: _rate(c.idle.messages, c, n)),
+        _slope("idle", "us of a core a second", costs, lambda c, n: _rate(c.idle.cpu * 1e6, c, n)),
+        _slope("idle", "store calls/s, all VMs", costs, lambda c, n: c.idle.calls / IDLE_SECONDS),
+        _slope(
+            "a change of the table",
+            "bytes sent by a VM",
+            costs,
+            lambda c, n: _above(c.changes, c.idle, "sent_bytes") / CHANGES / n,
+        ),
+        _slope(
+            "a change of the table",
+            "us of a core of a VM",
+            costs,
+            lambda c, n: _above(c.changes, c.idle, "cpu") / CHANGES / n * 1e6,
+        ),
+        _slope(
+            "a VM lost and replaced",
+            "bytes sent by a VM",
+            costs,
+            lambda c, n: _above(c.restarts, c.idle, "sent_bytes") / RESTARTS / n,
+        ),
+        _slope(
+            "a VM lost and replaced",
+            "us of a core of a VM",
+            costs,
+            lambda c, n: _above(c.restarts, c.idle, "cpu") / RESTARTS / n * 1e6,
+        ),
+        fit("membership and links", "VMs", "bytes of memory of a VM", memory),
+    ]
+
+
+def _slope(
+    name: str,
+    unit: str,
+    costs: dict[int, FleetCost],
+    value: Callable[[FleetCost, int], float],
+) -> Slope:
+    points = [Point(size, value(cost, size)) for size, cost in costs.items()]
+    return fit(f"peers, {name}", "VMs", unit, points)
+
+
+def _rate(amount: float, cost: FleetCost, vms: int) -> float:
+    return amount / cost.idle.seconds / vms
+
+
+def _above(spent: Spent, idle: Spent, field: str) -> float:
+    """Return what was spent beyond what the same time costs without any event."""
+    return getattr(spent, field) - getattr(idle, field) / idle.seconds * spent.seconds
+
+
+def _run(work):  # type: ignore[no-untyped-def]
+    with warnings.catch_warnings(), asyncio.Runner(loop_factory=loop_factory()) as runner:
+        warnings.simplefilter("ignore")
+        return runner.run(work)
+
+
+async def _fleet_cost(size: int) -> FleetCost:
+    fleet = _Fleet(size)
+    await fleet.start()
+
+    async def idle() -> None:
+        await asyncio.sleep(IDLE_SECONDS)
+
+    async def changes() -> None:
+        for number in range(CHANGES):
+            await fleet.change(number + 2)
+            await asyncio.sleep(1.0)
+
+    async def restarts() -> None:
+        for number in range(RESTARTS):
+            await fleet.restart(number)
+            await asyncio.sleep(RESTART_INTERVAL_SECONDS)
+
+    cost = FleetCost(
+        await fleet.spend(idle), await fleet.spend(changes), await fleet.spend(restarts)
+    )
+    await fleet.stop()
+    return cost
+
+
+async def _fleet_memory(size: int) -> int:
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    fleet = _Fleet(size)
+    await fleet.start()
+    gc.collect()
+    used = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    await fleet.stop()
+    return used
--- a/auburncart/bench/tier.py
+++ b/auburncart/bench/tier.py
@@ -178,12 +178,14 @@
             observer,
         )
         dialer = FakeDialer(self.models, distances=distances)
+        chosen = POLICIES[policies](parts)
+        chosen.quarantine.join(parts.bus)
         node = Node(
             member.address,
             member.data_centre,
             FakeStore(self._platform),
             dialer,
-            POLICIES[policies](parts),
+            chosen,
             observer,
         )
         node.catalogue.install(self.shard_map)
--- a/auburncart/command/bench.py
+++ b/auburncart/command/bench.py
@@ -14,6 +14,7 @@
 from auburncart.bench.load import Stream, run_load
 from auburncart.bench.loopback import control_cost, transport_slope
 from auburncart.bench.measure import RunFigures
+from auburncart.bench.peers import peer_slopes
 from auburncart.bench.plot import plot_runs
 from auburncart.bench.report import bound_table, run_table, slope_table
 from auburncart.bench.run import run_case
@@ -138,7 +139,9 @@
     :param check: measure the bounds only, and judge them by the exit code.
     :param json: print one JSON object in place of the tables.
     """
-    slopes = [] if check else [*object_slopes(), *decision_slopes(), transport_slope()]
+    slopes = (
+        [] if check else [*object_slopes(), *decision_slopes(), *peer_slopes(), transport_slope()]
+    )
     cost = control_cost()
     bounds = control_bounds(cost)
     if json:
