--- /dev/null
+++ b/auburncart/bench/tests/test_peers.py
@@ -0,0 +1,14 @@
+"""Fleets of VMs that the bench measures."""
+
+import unittest
+
+from auburncart.bench.peers import measure_fleet
+
+
+class FleetTest(unittest.TestCase):
+    def test_a_small_fleet_talks_and_its_changes_come_into_force(self) -> None:
+        cost = measure_fleet(3)
+        self.assertGreater(cost.idle.messages, 0)
+        self.assertGreater(cost.restarts.sent_bytes, 0)
+        self.assertLess(cost.spread_seconds, 7.0)
+        self.assertEqual(cost.idle.sent_bytes, measure_fleet(3).idle.sent_bytes)
