--- a/auburncart/coordination/catalogue.py
+++ b/auburncart/coordination/catalogue.py
@@ -1,11 +1,12 @@
 """The shard map in force, from the platform's store."""
 
 import asyncio
+import contextlib
 import random
 
 from auburncart.coordination.follow import follow
 from auburncart.coordination.interfaces import Key, Store
-from auburncart.state import ShardMap
+from auburncart.state import Replica, ShardMap
 
 __all__ = ["SHARD_MAP", "Catalogue"]
 
@@ -18,8 +19,9 @@
     def __init__(self) -> None:
         self._current: ShardMap | None = None
         self._data_centres: tuple[str, ...] = ()
-        self._slots = 0
+        self._room = 0.0
         self._arrived = asyncio.Event()
+        self._changed = asyncio.Event()
 
     @property
     def current(self) -> ShardMap | None:
@@ -27,9 +29,9 @@
         return self._current
 
     @property
-    def slots(self) -> int:
-        """Number of slots of all replicas in force, 0 before the first shard map."""
-        return self._slots
+    def room(self) -> float:
+        """Number of sub-queries that fill all slots in force, 0 before the first shard map."""
+        return self._room
 
     def data_centres(self) -> tuple[str, ...]:
         """Return the names of the data centres that have upstreams, in order."""
@@ -39,6 +41,19 @@
         """Wait until one is in force."""
         await self._arrived.wait()
 
+    async def newer_than(self, version: int, until: float) -> ShardMap | None:
+        """Wait for a shard map that is newer than a version.
+
+        :param until: loop time in seconds at which to give up.
+        :return: the shard map, None if none arrived.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(until):
+                while self._current is None or self._current.version <= version:
+                    await self._changed.wait()
+                return self._current
+        return None
+
     def install(self, shard_map: ShardMap) -> bool:
         """Put a shard map in force if it is newer than the one in force.
 
@@ -48,13 +63,10 @@
             return False
         self._current = shard_map
         self._data_centres = _data_centres_of(shard_map)
-        replicas = {
-            replica.address: replica.slots
-            for shard in shard_map.shards.values()
-            for replica in shard.replicas
-        }
-        self._slots = sum(replicas.values())
+        self._room = _room(shard_map)
         self._arrived.set()
+        self._changed.set()
+        self._changed = asyncio.Event()
         return True
 
     async def follow(self, store: Store, rng: random.Random) -> None:
@@ -68,3 +80,21 @@
 def _data_centres_of(shard_map: ShardMap) -> tuple[str, ...]:
     replicas = (replica for shard in shard_map.shards.values() for replica in shard.replicas)
     return tuple(sorted({replica.data_centre for replica in replicas}))
+
+
+def _room(shard_map: ShardMap) -> float:
+    """Return the sub-queries of whole searches that the slots of all replicas hold.
+
+    A slot holds a request, and in it a replica's part of the shards of one search.
+    """
+    replicas: dict[str, Replica] = {}
+    parts: dict[str, float] = {}
+    for shard in shard_map.shards.values():
+        for replica in shard.replicas:
+            replicas[replica.address] = replica
+            part = parts.get(replica.address, 0.0) + 1.0 / len(shard.replicas)
+            parts[replica.address] = part
+    return sum(
+        replica.slots * max(1.0, min(replica.batch_limit, parts[address]))
+        for address, replica in replicas.items()
+    )
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -8,6 +8,9 @@
     NoAnswer,
     QueryLoss,
     Roll,
+    SeatAsk,
+    SeatNews,
+    SeatSeen,
     StatusAsk,
     StatusNews,
     TableAsk,
@@ -41,6 +44,7 @@
     Verdict,
 )
 from auburncart.state.query import QueryRun, query_digest
+from auburncart.state.rate import RateDemand, RateGrant, RateGrants, RateReport
 from auburncart.state.search import (
     Coverage,
     Hit,
@@ -51,7 +55,9 @@
     SubQuery,
     coverage_of,
 )
+from auburncart.state.seat import Seat, SeatPlan, SeatPlans
 from auburncart.state.shards import Replica, Shard, ShardMap
+from auburncart.state.status import CentreStatus, VmStatus
 from auburncart.state.table import (
     AuditArchive,
     AuditEntry,
@@ -76,6 +82,7 @@
     "AuditEntry",
     "Batch",
     "BatchReply",
+    "CentreStatus",
     "Claim",
     "ClaimBucket",
     "ClaimChange",
@@ -112,6 +119,10 @@
     "Question",
     "Ran",
     "Rank",
+    "RateDemand",
+    "RateGrant",
+    "RateGrants",
+    "RateReport",
     "Refusal",
     "RefusalCode",
     "Replica",
@@ -119,6 +130,12 @@
     "Row",
     "SearchAnswer",
     "SearchRequest",
+    "Seat",
+    "SeatAsk",
+    "SeatNews",
+    "SeatPlan",
+    "SeatPlans",
+    "SeatSeen",
     "Shard",
     "ShardAnswer",
     "ShardMap",
@@ -134,6 +151,7 @@
     "UpstreamOrder",
     "Verdict",
     "Versions",
+    "VmStatus",
     "Work",
     "coverage_of",
     "find_row",
--- a/auburncart/state/fact.py
+++ b/auburncart/state/fact.py
@@ -9,6 +9,8 @@
 from auburncart.state.link import Versions
 from auburncart.state.member import Member
 from auburncart.state.order import ClaimQuestion, ClaimReply
+from auburncart.state.rate import RateGrants, RateReport
+from auburncart.state.seat import Seat, SeatPlans
 from auburncart.state.shards import ShardMap
 from auburncart.state.table import TableDocument
 
@@ -20,6 +22,9 @@
     "NoAnswer",
     "QueryLoss",
     "Roll",
+    "SeatAsk",
+    "SeatNews",
+    "SeatSeen",
     "StatusAsk",
     "StatusNews",
     "TableAsk",
@@ -106,6 +111,25 @@
     lacking: str
 
 
+class SeatAsk(NamedTuple):
+    """Question for seat plans newer than this epoch."""
+
+    version: int
+
+
+class SeatNews(NamedTuple):
+    """The seat plans of the origin's data centre."""
+
+    plans: SeatPlans
+
+
+class SeatSeen(NamedTuple):
+    """A seat holds no more connections than its shares under a plan."""
+
+    seat: Seat
+    epoch: int
+
+
 FACTS: tuple[type[tuple[Any, ...]], ...] = (
     TableNews,
     QueryLoss,
@@ -118,4 +142,9 @@
     Roll,
     StatusAsk,
     StatusNews,
+    RateReport,
+    RateGrants,
+    SeatAsk,
+    SeatNews,
+    SeatSeen,
 )
