--- a/auburncart/bench/tier.py
+++ b/auburncart/bench/tier.py
@@ -12,6 +12,7 @@
     baseline_policies,
     default_policies,
 )
+from auburncart.coordination.seats import SeatShares
 from auburncart.exception import InputError
 from auburncart.standins.fakes import (
     Distance,
@@ -24,7 +25,7 @@
 from auburncart.standins.platform import PlatformModel
 from auburncart.standins.site import demo_hits, make_shard_map
 from auburncart.standins.upstream import UpstreamModel, UpstreamShape
-from auburncart.state import Member, ShardMap
+from auburncart.state import Member, Seat, SeatPlan, SeatPlans, ShardMap
 
 __all__ = ["POLICIES", "EntryVm", "Tier", "VmParts", "make_shapes"]
 
@@ -37,10 +38,12 @@
 
     :param places: searches at work at the same time, where a policy fixes their number.
     :param vms: number of VMs of the whole tier.
+    :param data_centres: number of data centres.
     """
 
     places: int
     vms: int
+    data_centres: int
     membership: FakeMembership
     bus: FakeBus
     observer: Observer
@@ -50,11 +53,33 @@
     return baseline_policies(parts.places, parts.vms)
 
 
+def _alone(parts: VmParts) -> Policies:
+    """Return the policies of a daemon that has no peers."""
+    return default_policies(parts.vms, seed=_seed(parts))
+
+
 def _default(parts: VmParts) -> Policies:
-    return default_policies(parts.vms, seed=zlib.crc32(parts.membership.own.address.encode()))
+    """Return the policies of a daemon with peers, all of them seated."""
+    membership = parts.membership
+    centre = membership.own.data_centre
+    seats = {vm: Seat(vm.address, vm.incarnation) for vm in membership.live(centre)}
+    shares = SeatShares(seats[membership.own], centre, parts.data_centres)
+    shares.install(SeatPlans((SeatPlan(1, tuple(seats.values())),)))
+    for seat in seats.values():
+        shares.confirm(seat, 1)
+    policies = default_policies(parts.vms, lambda: membership.possible(centre), _seed(parts))
+    return policies._replace(limit=shares)
+
+
+def _seed(parts: VmParts) -> int:
+    return zlib.crc32(parts.membership.own.address.encode())
 
 
-POLICIES: dict[str, Callable[[VmParts], Policies]] = {"baseline": _baseline, "default": _default}
+POLICIES: dict[str, Callable[[VmParts], Policies]] = {
+    "baseline": _baseline,
+    "default": _default,
+    "alone": _alone,
+}
 
 
 class PlacedShape(NamedTuple):
@@ -173,6 +198,7 @@
         parts = VmParts(
             self.site.places,
             self.site.vms,
+            len(self.site.data_centres),
             FakeMembership(member, tuple(self._members())),
             FakeBus(member, self.network),
             observer,
--- a/auburncart/command/bench.py
+++ b/auburncart/command/bench.py
@@ -20,11 +20,11 @@
 from auburncart.bench.run import run_case
 from auburncart.bench.site import load_site
 from auburncart.bench.summary import summary_table
-from auburncart.bench.tier import POLICIES
 from auburncart.exception import InputError
 
 __all__ = ["app"]
 
+BOTH = ("baseline", "default")
 DEFAULT_SECONDS = 10.0
 EXIT_EXCEEDED = 1
 
@@ -46,14 +46,15 @@
 
     :param site: ``ladera``, ``leidslurett`` or a file of the same form.
     :param case: name of a case, or several joined by ``+``; ``bench cases`` lists them.
-    :param policies: a set of policies, or ``both`` for all of them one below the other.
+    :param policies: ``baseline``, ``default``, ``alone`` (a daemon without peers), or ``both`` for
+        baseline and default one below the other.
     :param seed: seed of arrivals, service times and faults; the same seed gives the same figures.
     :param seconds: measured time in virtual seconds, after one second of warm-up.
     :param json: print one JSON array in place of the table.
     :param plot: file for a picture of latency by rank and coverage over time, such as ``run.svg``.
     """
     loaded = load_site(site)
-    names = tuple(POLICIES) if policies == "both" else (policies,)
+    names = BOTH if policies == "both" else (policies,)
     results = [run_case(loaded, case, name, seed, seconds) for name in names]
     if plot is not None:
         plot_runs(results, plot)
