--- a/auburncart/bench/tier.py
+++ b/auburncart/bench/tier.py
@@ -204,16 +204,15 @@
             observer,
         )
         dialer = FakeDialer(self.models, distances=distances)
-        chosen = POLICIES[policies](parts)
-        chosen.quarantine.join(parts.bus)
         node = Node(
             member.address,
             member.data_centre,
             FakeStore(self._platform),
             dialer,
-            chosen,
+            POLICIES[policies](parts),
             observer,
         )
+        node.share_losses(parts.bus)
         node.catalogue.install(self.shard_map)
         node.tables.install(self.site.table)
         return EntryVm(member, dialer, node)
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -131,10 +131,18 @@
             return
         tables = self._tables.follow(self._store, random.Random(f"{self._name}/table"))
         shards = self._catalogue.follow(self._store, random.Random(f"{self._name}/shards"))
+        status = self._policies.draining.follow(
+            self._store, self._catalogue, random.Random(f"{self._name}/status")
+        )
+        self._tasks.append(asyncio.create_task(status, name="upstream status"))
         self._tasks.append(asyncio.create_task(tables, name="table"))
         self._tasks.append(asyncio.create_task(shards, name="shards"))
         self._tasks.append(asyncio.create_task(self._policies.rates.run(), name="rates"))
 
+    def share_losses(self, bus: PeerBus) -> None:
+        """Exchange with the other VMs which queries took an upstream down."""
+        self._policies.quarantine.join(bus)
+
     def share_claims(self, membership: Membership, bus: PeerBus) -> None:
         """Let one VM write each bucket of claims; call it before :meth:`start`."""
         self._holder.route(OwnedClaims(self._claims, membership, bus, self._catalogue.data_centres))
@@ -178,6 +186,7 @@
             limit=self._policies.limit,
             quarantine=self._policies.quarantine,
             observer=self._observer,
-            pressure=self._policies.pressure(),
+            pressure=self._policies.pressure(replica),
             redialing=self._policies.redialing,
+            on_leaving=self._policies.draining.begin,
         )
