--- a/auburncart/protocol/platform.py
+++ b/auburncart/protocol/platform.py
@@ -24,6 +24,7 @@
     Shard,
     ShardMap,
     TableDocument,
+    UpstreamStatus,
 )
 
 __all__ = [
@@ -161,6 +162,10 @@
     return msgspec.convert(fields, type=AuditArchive)
 
 
+def _decode_upstreams(fields: Any) -> UpstreamStatus:
+    return msgspec.convert(fields, type=UpstreamStatus)
+
+
 def _plain(value: Any) -> Any:
     return msgspec.to_builtins(value)
 
@@ -168,6 +173,7 @@
 CODECS: dict[str, _Codec] = {
     "table": _Codec(_plain, _decode_table),
     "shards": _Codec(_encode_map, _decode_map),
+    "upstreams": _Codec(_plain, _decode_upstreams),
     "claims": _Codec(_encode_claims, _decode_claims),
     "status": _Codec(_plain, _decode_status),
     "seats": _Codec(_plain, _decode_seats),
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -73,6 +73,7 @@
     OrderReply,
     UpstreamCondition,
     UpstreamOrder,
+    UpstreamStatus,
 )
 from auburncart.state.work import Rank, Work
 
@@ -149,6 +150,7 @@
     "TableNews",
     "UpstreamCondition",
     "UpstreamOrder",
+    "UpstreamStatus",
     "Verdict",
     "Versions",
     "VmStatus",
