--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -132,14 +132,14 @@
         :param alone: False if a :class:`Group` keeps the table and the shard map up to date.
         """
         self._tasks.append(asyncio.create_task(self._policies.rates.run(), name="rates"))
-        if not alone:
-            return
-        tables = self._tables.follow(self._store, random.Random(f"{self._name}/table"))
-        shards = self._catalogue.follow(self._store, random.Random(f"{self._name}/shards"))
         status = self._policies.draining.follow(
             self._store, self._catalogue, random.Random(f"{self._name}/status")
         )
         self._tasks.append(asyncio.create_task(status, name="upstream status"))
+        if not alone:
+            return
+        tables = self._tables.follow(self._store, random.Random(f"{self._name}/table"))
+        shards = self._catalogue.follow(self._store, random.Random(f"{self._name}/shards"))
         self._tasks.append(asyncio.create_task(tables, name="table"))
         self._tasks.append(asyncio.create_task(shards, name="shards"))
 
--- a/auburncart/coordination/seating.py
+++ b/auburncart/coordination/seating.py
@@ -60,14 +60,13 @@
     async def confirm(self) -> None:
         """Hand connections back as plans change, and confirm each plan; runs until cancelled."""
         loop = asyncio.get_running_loop()
+        seen = -1
         while True:
-            self._trim()
-            plans = self._shares.plans
-            if plans is not None and self._shares.keeps_to_plan(self._held()):
-                settled = len(plans.plans) == 1
-                again = not settled and loop.time() - self._said_at >= REPEAT_SECONDS
-                if self._said < self._shares.epoch or again:
-                    self._say(loop.time())
+            if self._shares.changes != seen or self._said < self._shares.epoch:
+                seen = self._shares.changes
+                self._trim()
+            if self._must_say(loop.time()) and self._shares.keeps_to_plan(self._held()):
+                self._say(loop.time())
             await asyncio.sleep(TICK_SECONDS)
 
     async def keep(self) -> None:
@@ -109,6 +108,15 @@
         if origin.data_centre == self._roster.own.data_centre:
             self._shares.confirm(seen.seat, seen.epoch)
 
+    def _must_say(self, now: float) -> bool:
+        plans = self._shares.plans
+        if plans is None:
+            return False
+        unsettled = len(plans.plans) > 1
+        return self._said < self._shares.epoch or (
+            unsettled and now - self._said_at >= REPEAT_SECONDS
+        )
+
     def _say(self, now: float) -> None:
         self._said, self._said_at = self._shares.epoch, now
         self._peers.publish_near(SeatSeen(self._shares.own, self._said))
--- a/auburncart/coordination/seats.py
+++ b/auburncart/coordination/seats.py
@@ -85,6 +85,7 @@
         self._confirmed: dict[Seat, int] = {}
         self._granted: dict[Replica, int] = {}
         self._fresh: dict[Replica, int] = {}
+        self._changes = 0
 
     @property
     def own(self) -> Seat:
@@ -101,6 +102,11 @@
         """Epoch of the newest plan known, 0 before the first."""
         return self._plans.newest.epoch if self._plans else 0
 
+    @property
+    def changes(self) -> int:
+        """Number that grows whenever shares may have changed."""
+        return self._changes
+
     @property
     def seated(self) -> bool:
         """Whether this VM has a seat in the newest plan known."""
@@ -110,7 +116,7 @@
         """Act as a seat whose process has ended, from the share that this VM holds now: none."""
         self._own = seat
         self._granted.clear()
-        self._fresh.clear()
+        self._forget_shares()
 
     def install(self, plans: SeatPlans) -> bool:
         """Act by newer plans from now on.
@@ -120,7 +126,7 @@
         if plans.newest.epoch <= self.epoch:
             return False
         self._plans = plans
-        self._fresh.clear()
+        self._forget_shares()
         for replica in self._granted:
             self.connections(replica)
         return True
@@ -129,7 +135,7 @@
         """Take in that a seat holds no more than its shares under a plan."""
         if epoch > self._confirmed.get(seat, 0):
             self._confirmed[seat] = epoch
-            self._fresh.clear()
+            self._forget_shares()
 
     def confirmed(self, seat: Seat) -> int:
         """Return the epoch that a seat last confirmed, 0 if it is not known."""
@@ -152,6 +158,10 @@
         """Return whether the connections held are within the shares of the newest plan known."""
         return all(count <= self.share(replica) for replica, count in held)
 
+    def _forget_shares(self) -> None:
+        self._fresh.clear()
+        self._changes += 1
+
     def _grant(self, replica: Replica) -> int:
         if self._plans is None:
             return 0
--- a/auburncart/daemon/peering.py
+++ b/auburncart/daemon/peering.py
@@ -6,7 +6,6 @@
 from auburncart.coordination import Catalogue, Node, Observer, Store, TableKeeper
 from auburncart.coordination.group import Group
 from auburncart.coordination.handshake import KeyRing
-from auburncart.coordination.poison import StrikeQuarantine
 from auburncart.coordination.policies import Policies
 from auburncart.coordination.seats import SeatShares
 from auburncart.coordination.shared_rates import SharedRates
@@ -63,8 +62,6 @@
     def share(self, policies: Policies) -> Policies:
         """Return policies that keep to limits together with the other VMs."""
         bus = self._group.bus
-        if isinstance(policies.quarantine, StrikeQuarantine):
-            policies.quarantine.join(bus)
         rates = SharedRates(bus, self._group.membership, self._catalogue.data_centres)
         return policies._replace(limit=self._shares, rates=rates)
 
@@ -74,6 +71,7 @@
         group.share_connections(self._shares, node.fleet)
         node.drain.when_leaving(group.leave)
         node.require(lambda: group.ready)
+        node.share_losses(group.bus)
         node.share_claims(group.membership, group.bus)
 
     async def start(self) -> None:
