--- a/auburncart/protocol/tests/test_fuzz.py
+++ b/auburncart/protocol/tests/test_fuzz.py
@@ -30,6 +30,9 @@
     "table": (lambda body: platform.decode_value(TABLE, body), ProtocolError),
     "shards": (lambda body: platform.decode_value(SHARD_MAP, body), ProtocolError),
     "claim": (lambda body: platform.decode_value(CLAIM, body), ProtocolError),
+    "audit": (lambda body: platform.decode_value(Key("audit", "1"), body), ProtocolError),
+    "seats": (lambda body: platform.decode_value(Key("seats", "dc1"), body), ProtocolError),
+    "status": (lambda body: platform.decode_value(Key("status", "dc1"), body), ProtocolError),
 }
 NAMES = list(
     {
