--- a/auburncart/scenario/tests/real.py
+++ b/auburncart/scenario/tests/real.py
@@ -26,16 +26,19 @@
 POLL_SECONDS = 0.1
 SLACK_SECONDS = 10.0
 REFUSED = 400
+PEER_KEY = "a key for tests on loopback"
 
 
 class RealWorld(World):
     """Starts processes and ends them by id.
 
     :param lag: seconds for which a VM that is told to end still serves.
+    :param peers: whether the VMs are linked to each other.
     """
 
-    def __init__(self, lag: float = 0.2) -> None:
+    def __init__(self, lag: float = 0.2, *, peers: bool = False) -> None:
         self._lag = lag
+        self._peers: list[str] | None = [] if peers else None
         self._began = asyncio.get_running_loop().time()
         self._epoch = time.time()
         self._folder = tempfile.TemporaryDirectory()
@@ -177,10 +180,18 @@
             "connecting_vms": vms,
             "balancer_lag_seconds": self._lag,
             "log_file": "",
+            **self._peer_fields(),
         }
         settings.write_text(json.dumps(fields))
         self._spawn(name, ["entry", "--settings", str(settings)])
 
+    def _peer_fields(self) -> dict[str, object]:
+        if self._peers is None:
+            return {}
+        address, seeds = _free_address(), list(self._peers)
+        self._peers.append(address)
+        return {"peer_address": address, "peer_seeds": seeds, "peer_keys": [PEER_KEY]}
+
     def _spawn(self, name: str, arguments: list[str]) -> None:
         self._arguments[name] = arguments
         self._processes[name] = subprocess.Popen(
--- a/auburncart/scenario/tests/rolling.py
+++ b/auburncart/scenario/tests/rolling.py
@@ -27,7 +27,7 @@
     """Replaces VMs while workers send searches through a lagging balancer."""
 
     def __init__(self, lag: float) -> None:
-        super().__init__(lag)
+        super().__init__(lag, peers=True)
         self.view = ["vm1", "vm2", "vm3"]
         self.known = list(self.view)
         self.seen: collections.Counter[str] = collections.Counter()
@@ -60,7 +60,7 @@
             return f"cut: {type(error).__name__}"
 
     async def replace(self, old: str, new: str) -> None:
-        self._start_vm(new, "dc1")
+        self._start_vm(new, "dc1", len(self.known) + 1)
         await self._ready(new)
         self.known.append(new)
         await asyncio.sleep(2 * BALANCER_SECONDS)
--- a/auburncart/scenario/tests/storm.py
+++ b/auburncart/scenario/tests/storm.py
@@ -32,7 +32,7 @@
     """Sends orders, repeats those whose outcome is not known, and makes things fail."""
 
     def __init__(self, rng: random.Random) -> None:
-        super().__init__()
+        super().__init__(peers=True)
         self.rng = rng
         self.said: dict[str, list[str]] = {}
         self.faults: collections.Counter[str] = collections.Counter()
