--- a/auburncart/coordination/overlay.py
+++ b/auburncart/coordination/overlay.py
@@ -19,6 +19,7 @@
 NEWS_SECONDS = 0.05
 PROBE_SECONDS = 4.0
 IDLE_SECONDS = 10.0
+MOST_SPARE_LINKS = 16
 ROLL_SECONDS = 5.0
 MOST_FAILED_SECONDS = 10.0
 MISMATCHES = 2
@@ -95,15 +96,18 @@
             self._verify.add(member.address)
 
     def heard(self, member: Member, heartbeat: Heartbeat) -> None:
-        """Send all that is believed if the two sides differ at first or for long."""
-        if heartbeat.digest == self._roster.digest:
+        """Send what is believed of a data centre if the sides differ at first or for long."""
+        theirs, ours = set(heartbeat.digests), set(self._roster.digests)
+        different = {data_centre for data_centre, _ in theirs ^ ours}
+        if not different:
             self._mismatches.pop(member.address, None)
             return
         count = self._mismatches.get(member.address, 0) + 1
         self._mismatches[member.address] = count
         since = self._now() - self._rolled.get(member.address, -ROLL_SECONDS)
         if count >= MISMATCHES and since >= ROLL_SECONDS:
-            self._send_roll(member.address)
+            self._rolled[member.address] = self._now()
+            self._peers.tell(member.address, self._roster.roll(different))
 
     async def run(self) -> None:
         """Keep the links until cancelled."""
@@ -111,7 +115,7 @@
         while True:
             self._roster.tick()
             wanted = self._wanted()
-            for address in (wanted | self._due()) - self._peers.links.addresses:
+            for address in sorted((wanted | self._due()) - self._peers.links.addresses):
                 task = asyncio.create_task(self._dial(address), name=f"link {address}")
                 dials.add(task)
                 task.add_done_callback(dials.discard)
@@ -126,7 +130,7 @@
         # Each VM passes on only what was new to it, so that news ends by itself.
         self._flush = None
         roll = self._roster.take_fresh()
-        for address in self._peers.links.addresses:
+        for address in sorted(self._peers.links.addresses):
             self._peers.tell(address, roll)
 
     def _wanted(self) -> set[str]:
@@ -181,14 +185,15 @@
         dialled = {one.member.address for one in self._peers.links if one.dialled}
         for address in dialled & wanted:
             self._unwanted.pop(address, None)
-        for address in dialled - wanted:
-            if now - self._unwanted.setdefault(address, now) >= IDLE_SECONDS:
+        spare = dialled - wanted
+        for address in sorted(spare):
+            self._unwanted.setdefault(address, now)
+        oldest = sorted(spare, key=lambda address: (self._unwanted[address], address))
+        for place, address in enumerate(oldest):
+            too_many = len(oldest) - place > MOST_SPARE_LINKS
+            if too_many or now - self._unwanted[address] >= IDLE_SECONDS:
                 del self._unwanted[address]
                 await self._peers.hang_up(address, "not needed")
 
-    def _send_roll(self, address: str) -> None:
-        self._rolled[address] = self._now()
-        self._peers.tell(address, self._roster.roll())
-
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/auburncart/daemon/entry.py
+++ b/auburncart/daemon/entry.py
@@ -12,11 +12,10 @@
 from auburncart.coordination import Node
 from auburncart.coordination.gate import EveryRankGate, OneRankGate, RankGate
 from auburncart.coordination.policies import Policies, default_policies
-from auburncart.coordination.seats import SeatShares
 from auburncart.coordination.shutdown import Shutdown, ShutdownTimes
-from auburncart.daemon.peering import Peering, make_group
+from auburncart.daemon.peering import Peering
 from auburncart.settings import EntrySettings
-from auburncart.state import Rank, Seat
+from auburncart.state import Rank
 from auburncart.transport.loop import LoopBridge
 from auburncart.transport.metrics import MetricsObserver
 from auburncart.transport.store import HttpStore
@@ -38,10 +37,8 @@
         self._settings = settings
         self._metrics = MetricsObserver()
         self._store = HttpStore(settings.platform_address, settings.platform_token)
-        self._epoch = time.time() - asyncio.get_running_loop().time()
-        self._incarnation = int(time.time() * 1000)
-        self._shares = self._make_shares()
-        self._peering: Peering | None = None
+        epoch = time.time() - asyncio.get_running_loop().time()
+        self._peering = self._make_peering(epoch)
         self._node = Node(
             settings.name,
             settings.data_centre,
@@ -49,9 +46,12 @@
             HttpUpstreamDialer(),
             self._make_policies(),
             self._metrics,
-            epoch=self._epoch,
+            epoch,
+            self._peering.tables if self._peering else None,
+            self._peering.catalogue if self._peering else None,
         )
-        self._peering = self._make_peering()
+        if self._peering is not None:
+            self._peering.attach(self._node)
         self._ports = CallerPorts(())
         self._shutdown: Shutdown | None = None
 
@@ -131,40 +131,19 @@
         )
 
     def _make_policies(self) -> Policies:
+        peering = self._peering
         policies = default_policies(
             self._settings.connecting_vms,
-            self._sharing,
-            seed=_seed(self._settings),
+            peering.sharing if peering else None,
+            seed=zlib.crc32(self._settings.name.encode()),
             tolerance=self._settings.load_tolerance,
         )
-        return policies._replace(limit=self._shares) if self._shares else policies
-
-    def _make_shares(self) -> SeatShares | None:
-        settings = self._settings
-        if not settings.peer_address:
-            return None
-        seat = Seat(settings.peer_address, self._incarnation)
-        return SeatShares(seat, settings.data_centre, settings.data_centres)
+        return peering.share(policies) if peering else policies
 
-    def _make_peering(self) -> Peering | None:
-        if self._shares is None:
+    def _make_peering(self, epoch: float) -> Peering | None:
+        if not self._settings.peer_address:
             return None
-        group = make_group(
-            self._settings, self._incarnation, self._store, self._node, self._metrics, self._epoch
-        )
-        group.share_connections(self._shares, self._node.fleet)
-        self._node.drain.when_leaving(group.leave)
-        self._node.require(lambda: group.ready)
-        return Peering(group, self._settings.peer_address)
-
-    def _sharing(self) -> int:
-        if self._peering is None:
-            return self._settings.connecting_vms
-        return self._peering.group.membership.possible(self._settings.data_centre)
-
-
-def _seed(settings: EntrySettings) -> int:
-    return zlib.crc32(settings.name.encode())
+        return Peering(self._settings, self._store, self._metrics, epoch)
 
 
 def start_log(log_file: str) -> None:
