--- a/auburncart/coordination/drain.py
+++ b/auburncart/coordination/drain.py
@@ -1,10 +1,12 @@
 """Upstreams that leave: which of them still get work."""
 
+import math
 import random
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
 from auburncart.coordination.catalogue import Catalogue
+from auburncart.coordination.choice import ReplicaChoice
 from auburncart.coordination.follow import follow
 from auburncart.coordination.interfaces import Key, Store
 from auburncart.coordination.upstream import Upstream
@@ -17,7 +19,7 @@
     UpstreamStatus,
 )
 
-__all__ = ["UPSTREAM_STATUS", "Draining", "NoDraining", "SignedDraining"]
+__all__ = ["UPSTREAM_STATUS", "Draining", "NoDraining", "SignedDraining", "UsableChoice"]
 
 UPSTREAM_STATUS: Key[UpstreamStatus] = Key("upstreams", "status")
 
@@ -61,6 +63,25 @@
         """Follow nothing."""
 
 
+class UsableChoice(ReplicaChoice):
+    """Chooses among the upstreams that are ready and may get new work.
+
+    :param choice: chooses among those.
+    :param draining: tells which may get new work.
+    """
+
+    def __init__(self, choice: ReplicaChoice, draining: Draining) -> None:
+        self._choice = choice
+        self._draining = draining
+
+    def choose(
+        self, candidates: Sequence[Upstream], now: float, deadline: float = math.inf
+    ) -> Upstream | None:
+        """Return an upstream, or None if none of them should get work."""
+        ready = [upstream for upstream in candidates if upstream.ready]
+        return self._choice.choose(self._draining.usable(ready, now), now, deadline)
+
+
 class SignedDraining(Draining):
     """Obeys each sign of leaving while another replica of the shard can take the work.
 
--- a/auburncart/coordination/loaded.py
+++ b/auburncart/coordination/loaded.py
@@ -21,7 +21,7 @@
 CONDITION_FACTORS = {
     UpstreamCondition.READY: 1.0,
     UpstreamCondition.COLD: COLD_FACTOR,
-    UpstreamCondition.DRAINING: math.inf,
+    UpstreamCondition.DRAINING: 1.0,  # a matter of the Draining policy
     UpstreamCondition.SHEDDING: 4.0,
 }
 
@@ -81,9 +81,8 @@
 
 
 def _class(upstream: Upstream) -> Class:
-    leaving = upstream.condition is UpstreamCondition.DRAINING
     failures = upstream.failures
-    return leaving or failures >= UNANSWERING_FAILURES, not upstream.local, failures > 0
+    return failures >= UNANSWERING_FAILURES, not upstream.local, failures > 0
 
 
 class TwoRandomChoice(LeastOutstandingChoice):
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -8,6 +8,7 @@
 from auburncart.coordination.backoff import Backoff
 from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.claims import StoredClaims
+from auburncart.coordination.drain import UsableChoice
 from auburncart.coordination.fleet import Fleet
 from auburncart.coordination.guard import GuardedStore
 from auburncart.coordination.holder import ClaimHolder
@@ -171,7 +172,7 @@
             self._tables,
             self._fleet,
             self._policies.admission,
-            self._policies.choice,
+            UsableChoice(self._policies.choice, self._policies.draining),
             self._observer,
             epoch,
         )
--- a/auburncart/coordination/tests/test_drain.py
+++ b/auburncart/coordination/tests/test_drain.py
@@ -6,9 +6,10 @@
 
 from auburncart.coordination import default_policies
 from auburncart.coordination.drain import UPSTREAM_STATUS, SignedDraining
+from auburncart.coordination.idempotency import make_key
 from auburncart.coordination.tests.trial import baseline, retried
 from auburncart.protocol.platform import encode_value, object_path
-from auburncart.state import UpstreamCondition, UpstreamStatus
+from auburncart.state import OrderRequest, UpstreamCondition, UpstreamStatus
 from auburncart.tests.site import Site, search_request
 from auburncart.tests.virtual import virtual_time
 
@@ -75,6 +76,23 @@
         self.assertTrue(all(coverage.complete for coverage in found))
         self.assertLessEqual(max(site.worked), sign + FEW_SECONDS)
 
+    @virtual_time
+    async def test_an_order_goes_to_the_replica_that_stays(self) -> None:
+        site = DrainSite(shards=2)
+        await site.load(0.5)
+        site.models[LEAVER].set_condition(UpstreamCondition.DRAINING)
+        await site.load(0.5)
+        for number in range(6):
+            deadline = asyncio.get_running_loop().time() + 1.0
+            key = make_key(deadline, number)
+            order = OrderRequest(
+                f"o{number}", key, "ladera", "closure", "shard-01", "fix", deadline
+            )
+            self.assertTrue((await site.orders.order(order)).is_ok())
+        effects = {address: len(model.effects) for address, model in site.models.items()}
+        await site.close()
+        self.assertEqual((effects[LEAVER], effects["10.0.1.1:80"]), (0, 6))
+
     @virtual_time
     async def test_platforms_list_ends_new_work(self) -> None:
         site = DrainSite()
