--- a/auburncart/coordination/gather.py
+++ b/auburncart/coordination/gather.py
@@ -9,6 +9,7 @@
 from auburncart.coordination.job import Job, JobResult
 from auburncart.coordination.mailbox import Mailbox
 from auburncart.coordination.policies import Policies
+from auburncart.coordination.retry import Prospect
 from auburncart.coordination.upstream import Upstream
 from auburncart.state import (
     Failure,
@@ -334,11 +335,11 @@
     def _retry(self, ask: Ask, failure: Failure) -> None:
         now = self._now()
         usable = self._usable(ask.name, now)
-        if self._hopeless(ask):
-            self._give_up(ask, failure)
-            return
         fresh = any(upstream.address not in ask.tried for upstream in usable)
-        plan = self._policies.retrying.plan(ask.tries, failure, fresh, now, self._request.deadline)
+        prospect = Prospect(fresh, self._hopeless(ask))
+        plan = self._policies.retrying.plan(
+            ask.tries, failure, prospect, now, self._request.deadline
+        )
         if plan is None:
             self._give_up(ask, failure)
             return
--- a/auburncart/coordination/retry.py
+++ b/auburncart/coordination/retry.py
@@ -7,7 +7,7 @@
 
 from auburncart.state import Failure, FailureCode
 
-__all__ = ["BudgetedRetrying", "RetryPlan", "RetryThrice", "Retrying"]
+__all__ = ["BudgetedRetrying", "Prospect", "RetryPlan", "RetryThrice", "Retrying"]
 
 MAX_TRIES = 3
 MAX_BUDGETED_TRIES = 4
@@ -30,18 +30,29 @@
     other_only: bool = False
 
 
+class Prospect(NamedTuple):
+    """What another try of a sub-query would find.
+
+    :param fresh: whether a replica that was not tried yet takes work.
+    :param hopeless: whether no upstream of the shard is expected to take work soon.
+    """
+
+    fresh: bool = False
+    hopeless: bool = False
+
+
 class Retrying(ABC):
     """Decides whether an idempotent sub-query is tried again."""
 
     @abstractmethod
     def plan(
-        self, tries: int, failure: Failure, fresh: bool, now: float, deadline: float
+        self, tries: int, failure: Failure, prospect: Prospect, now: float, deadline: float
     ) -> RetryPlan | None:
         """Return how to try again, or None to give up.
 
         :param tries: number of tries so far, at least 1.
         :param failure: how the last one failed.
-        :param fresh: whether a replica that was not tried yet takes work.
+        :param prospect: what the next try would find.
         :param now: loop time in seconds.
         :param deadline: loop time in seconds at which the search ends.
         """
@@ -55,7 +66,7 @@
     """Tries each sub-query up to three times; the baseline."""
 
     def plan(
-        self, tries: int, failure: Failure, fresh: bool, now: float, deadline: float
+        self, tries: int, failure: Failure, prospect: Prospect, now: float, deadline: float
     ) -> RetryPlan | None:
         """Try again at once while a try is left and the deadline has not passed."""
         return RetryPlan() if tries < MAX_TRIES and now < deadline else None
@@ -113,15 +124,15 @@
         self._random = random.Random(seed)
 
     def plan(
-        self, tries: int, failure: Failure, fresh: bool, now: float, deadline: float
+        self, tries: int, failure: Failure, prospect: Prospect, now: float, deadline: float
     ) -> RetryPlan | None:
         """Return the next try that the kind of failure and the budget allow."""
         turn = TURNS[failure.code] if failure.sent else TURNS_UNSENT.get(failure.code, _Turn.ANY)
-        if turn is _Turn.NOWHERE or tries >= MAX_BUDGETED_TRIES:
+        if turn is _Turn.NOWHERE or tries >= MAX_BUDGETED_TRIES or prospect.hopeless:
             return None
-        if turn is _Turn.OTHER and not fresh:
+        if turn is _Turn.OTHER and not prospect.fresh:
             return None
-        plan = RetryPlan(0.0 if fresh else self._delay(tries), turn is _Turn.OTHER)
+        plan = RetryPlan(0.0 if prospect.fresh else self._delay(tries), turn is _Turn.OTHER)
         in_time = now + plan.delay + WORTH_SECONDS < deadline
         return plan if in_time and self._spend(failure) else None
 
--- a/auburncart/coordination/tests/test_retry.py
+++ b/auburncart/coordination/tests/test_retry.py
@@ -5,7 +5,7 @@
 
 from auburncart.coordination import baseline_policies
 from auburncart.coordination.redial import BackoffRedialing
-from auburncart.coordination.retry import BudgetedRetrying, RetryThrice
+from auburncart.coordination.retry import BudgetedRetrying, Prospect, RetryThrice
 from auburncart.state import Failure, FailureCode, Step, UpstreamCondition
 from auburncart.tests.site import Site, search_request
 from auburncart.tests.virtual import virtual_time
@@ -110,8 +110,8 @@
     def test_state_table_says_where_each_kind_of_failure_goes(self) -> None:
         retrying = BudgetedRetrying(seed=1)
         for code in FailureCode:
-            fresh = retrying.plan(1, failure(code), True, 0.0, 1.0)
-            same = retrying.plan(1, failure(code), False, 0.0, 1.0)
+            fresh = retrying.plan(1, failure(code), Prospect(fresh=True), 0.0, 1.0)
+            same = retrying.plan(1, failure(code), Prospect(fresh=False), 0.0, 1.0)
             self.assertEqual(fresh is None, code is FailureCode.QUARANTINED, code)
             again = {
                 FailureCode.UNREACHABLE,
@@ -125,13 +125,17 @@
 
     def test_never_past_the_deadline_and_unsent_work_costs_no_token(self) -> None:
         retrying = BudgetedRetrying(reserve=0.0, seed=1)
-        self.assertIsNone(retrying.plan(1, failure(FailureCode.LOST), True, 0.0, 1.0))
+        self.assertIsNone(
+            retrying.plan(1, failure(FailureCode.LOST), Prospect(fresh=True), 0.0, 1.0)
+        )
         unsent = failure(FailureCode.UNREACHABLE, sent=False)
-        self.assertIsNotNone(retrying.plan(1, unsent, True, 0.0, 1.0))
-        self.assertIsNone(retrying.plan(1, unsent, True, 0.999, 1.0))
+        self.assertIsNotNone(retrying.plan(1, unsent, Prospect(fresh=True), 0.0, 1.0))
+        self.assertIsNone(retrying.plan(1, unsent, Prospect(fresh=True), 0.999, 1.0))
         retrying.record_sent(20)
-        self.assertIsNotNone(retrying.plan(1, failure(FailureCode.LOST), True, 0.0, 1.0))
-        self.assertIsNone(RetryThrice().plan(3, unsent, True, 0.0, 1.0))
+        self.assertIsNotNone(
+            retrying.plan(1, failure(FailureCode.LOST), Prospect(fresh=True), 0.0, 1.0)
+        )
+        self.assertIsNone(RetryThrice().plan(3, unsent, Prospect(fresh=True), 0.0, 1.0))
 
 
 if __name__ == "__main__":
