--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -36,6 +36,8 @@
     :param policies: the policies to decide by.
     :param observer: told of what happens.
     :param epoch: seconds since the epoch at loop time 0.
+    :param tables: the table in force, if it is shared with a :class:`Group`.
+    :param catalogue: the shard map in force, if it is shared with a :class:`Group`.
     """
 
     def __init__(
@@ -47,6 +49,8 @@
         policies: Policies,
         observer: Observer,
         epoch: float = 0.0,
+        tables: TableKeeper | None = None,
+        catalogue: Catalogue | None = None,
     ) -> None:
         self._name = name
         self._data_centre = data_centre
@@ -54,8 +58,8 @@
         self._dialer = dialer
         self._policies = policies
         self._observer = observer
-        self._catalogue = Catalogue()
-        self._tables = TableKeeper()
+        self._catalogue = catalogue or Catalogue()
+        self._tables = tables or TableKeeper()
         self._requirements: list[Callable[[], bool]] = []
         self._drain = Drain(self._prepared)
         policies.admission.follow(self._tables, self._catalogue)
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -17,7 +17,6 @@
     TableNews,
 )
 from auburncart.state.failure import Failure, FailureCode, Ran, Refusal, RefusalCode, Step
-from auburncart.state.leaving import UpstreamStatus
 from auburncart.state.link import (
     MESSAGES,
     Answer,
@@ -74,6 +73,7 @@
     OrderReply,
     UpstreamCondition,
     UpstreamOrder,
+    UpstreamStatus,
 )
 from auburncart.state.work import Rank, Work
 
--- a/auburncart/state/upstream.py
+++ b/auburncart/state/upstream.py
@@ -6,7 +6,14 @@
 from auburncart.state.failure import Failure
 from auburncart.state.search import ShardAnswer, SubQuery
 
-__all__ = ["Batch", "BatchReply", "OrderReply", "UpstreamCondition", "UpstreamOrder"]
+__all__ = [
+    "Batch",
+    "BatchReply",
+    "OrderReply",
+    "UpstreamCondition",
+    "UpstreamOrder",
+    "UpstreamStatus",
+]
 
 
 class UpstreamCondition(Enum):
@@ -68,3 +75,12 @@
     accepted: bool
     outcome: Any
     condition: UpstreamCondition = UpstreamCondition.READY
+
+
+class UpstreamStatus(NamedTuple):
+    """The platform's view of the upstreams, which may lag or mislead.
+
+    :param leaving: addresses of the upstreams that are about to leave.
+    """
+
+    leaving: tuple[str, ...] = ()
