--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -17,7 +17,6 @@
     TableNews,
 )
 from auburncart.state.failure import Failure, FailureCode, Ran, Refusal, RefusalCode, Step
-from auburncart.state.leaving import UpstreamStatus
 from auburncart.state.link import (
     MESSAGES,
     Answer,
