--- a/auburncart/coordination/catalogue.py
+++ b/auburncart/coordination/catalogue.py
@@ -19,6 +19,7 @@
     def __init__(self) -> None:
         self._current: ShardMap | None = None
         self._room = 0.0
+        self._data_centres: tuple[str, ...] = ()
         self._arrived = asyncio.Event()
         self._changed = asyncio.Event()
 
@@ -32,6 +33,10 @@
         """Number of sub-queries that fill all slots in force, 0 before the first shard map."""
         return self._room
 
+    def data_centres(self) -> tuple[str, ...]:
+        """Return the names of the data centres that have upstreams, in order."""
+        return self._data_centres
+
     async def wait(self) -> None:
         """Wait until one is in force."""
         await self._arrived.wait()
@@ -58,6 +63,7 @@
             return False
         self._current = shard_map
         self._room = _room(shard_map)
+        self._data_centres = _data_centres_of(shard_map)
         self._arrived.set()
         self._changed.set()
         self._changed = asyncio.Event()
@@ -87,3 +93,8 @@
         replica.slots * max(1.0, min(replica.batch_limit, parts[address]))
         for address, replica in replicas.items()
     )
+
+
+def _data_centres_of(shard_map: ShardMap) -> tuple[str, ...]:
+    replicas = (replica for shard in shard_map.shards.values() for replica in shard.replicas)
+    return tuple(sorted({replica.data_centre for replica in replicas}))
--- a/auburncart/coordination/ranked.py
+++ b/auburncart/coordination/ranked.py
@@ -169,7 +169,7 @@
         waiter.queued = False
         lane = self._lanes[work.rank]
         lane.queue.remove(work.customer, work.kind, waiter)
-        lane.left(waiter)
+        lane.left(waiter, asyncio.get_running_loop().time())
         _subtract(self._queued, _row_key(work))
 
     def _measure(self, work: Work, seconds: float, in_use: dict[Rank, float]) -> None:
@@ -209,7 +209,7 @@
             if waiter is not None and lane.credit >= waiter.work.cost:
                 return lane
         for lane in self._lanes.values():
-            if lane.gate.open(now) and lane.queue.peek(self._ready) is not None:
+            if lane.may_start(now) and lane.queue.peek(self._ready) is not None:
                 return lane
         return None
 
