--- a/auburncart/coordination/lane.py
+++ b/auburncart/coordination/lane.py
@@ -10,10 +10,10 @@
 __all__ = ["Gate", "Lane", "Waiter"]
 
 RATE_WEIGHT = 0.2  # share of a new measurement in the moving average
-SPARE_STARTS = 2.0  # urgent requests that may start beyond the limit after a time without a queue
+SPARE_STARTS = 1.0  # urgent requests that may start beyond the limit after a time without a queue
 SPARE_STARTS_PER_SECOND = 1.0
 BURST_SECONDS = 0.05  # a queue that does not empty for longer is no burst
-STANDING_WAIT_TIMES = 1.0  # sub-query times that an urgent request waits in a standing queue
+STANDING_WAIT_TIMES = 0.4  # sub-query times that an urgent request waits in a standing queue
 
 
 class Waiter:
--- a/auburncart/settings/entry.py
+++ b/auburncart/settings/entry.py
@@ -43,7 +43,7 @@
     platform_token: str = ""
     general_threads: Count = 64
     urgent_threads: Count = 16
-    load_tolerance: Annotated[float, Field(ge=1.01, le=10)] = 1.15
+    load_tolerance: Annotated[float, Field(ge=1.01, le=10)] = 1.1
     connecting_vms: Count = 9
     balancer_lag_seconds: Seconds = 5.0
     shutdown_seconds: Seconds = 30.0
