--- a/auburncart/coordination/catalogue.py
+++ b/auburncart/coordination/catalogue.py
@@ -18,8 +18,8 @@
 
     def __init__(self) -> None:
         self._current: ShardMap | None = None
-        self._room = 0.0
         self._data_centres: tuple[str, ...] = ()
+        self._room = 0.0
         self._arrived = asyncio.Event()
         self._changed = asyncio.Event()
 
@@ -62,8 +62,8 @@
         if self._current is not None and shard_map.version <= self._current.version:
             return False
         self._current = shard_map
-        self._room = _room(shard_map)
         self._data_centres = _data_centres_of(shard_map)
+        self._room = _room(shard_map)
         self._arrived.set()
         self._changed.set()
         self._changed = asyncio.Event()
@@ -77,6 +77,11 @@
         await follow(store, SHARD_MAP, self.install, rng)
 
 
+def _data_centres_of(shard_map: ShardMap) -> tuple[str, ...]:
+    replicas = (replica for shard in shard_map.shards.values() for replica in shard.replicas)
+    return tuple(sorted({replica.data_centre for replica in replicas}))
+
+
 def _room(shard_map: ShardMap) -> float:
     """Return the sub-queries of whole searches that the slots of all replicas hold.
 
@@ -93,8 +98,3 @@
         replica.slots * max(1.0, min(replica.batch_limit, parts[address]))
         for address, replica in replicas.items()
     )
-
-
-def _data_centres_of(shard_map: ShardMap) -> tuple[str, ...]:
-    replicas = (replica for shard in shard_map.shards.values() for replica in shard.replicas)
-    return tuple(sorted({replica.data_centre for replica in replicas}))
--- a/auburncart/coordination/lane.py
+++ b/auburncart/coordination/lane.py
@@ -13,6 +13,8 @@
 SPARE_STARTS = 1.0  # urgent requests that may start beyond the limit after a time without a queue
 SPARE_STARTS_PER_SECOND = 1.0
 BURST_SECONDS = 0.05  # a queue that does not empty for longer is no burst
+REST_SECONDS = 0.2  # time without a queue after which the next one is a burst again
+MOST_EMPTIED = 1024  # customers whose emptied queues are remembered
 STANDING_WAIT_TIMES = 0.4  # sub-query times that an urgent request waits in a standing queue
 
 
@@ -71,6 +73,7 @@
         self._pace = 0.0
         self._last_grant = 0.0
         self._standing: dict[str, float] = {}
+        self._emptied_at: dict[str, float] = {}
         self._spare = SPARE_STARTS if rank is Rank.URGENT else 0.0
         self._empty_since = 0.0
         self.gate = Gate(capacity, rank)
@@ -85,7 +88,7 @@
             self._save(now)
         work, row = waiter.work, waiter.row
         waiter.queued_at = now
-        self._standing.setdefault(work.customer, now)
+        self._standing.setdefault(work.customer, self._queue_start(work.customer, now))
         self.queue.push(work.customer, work.kind, work.cost, row.weight, waiter)
 
     def may_start(self, now: float) -> bool:
@@ -104,7 +107,7 @@
     def left(self, waiter: Waiter, now: float) -> None:
         """Take in that a request left the queue."""
         if not self.queue.cost(waiter.work.customer):
-            self._standing.pop(waiter.work.customer, None)
+            self._emptied(waiter.work.customer, now)
         if not self.queue:
             self._empty_since = now
 
@@ -139,6 +142,20 @@
         longest = self.longest_wait(waiter.work.customer, now)
         return waiter if now > min(waiter.latest, waiter.queued_at + longest) else None
 
+    def _queue_start(self, customer: str, now: float) -> float:
+        """Return since when a customer's queue counts; a standing one may empty for a moment."""
+        rested = now - self._emptied_at.pop(customer, -math.inf) >= REST_SECONDS
+        return now if rested else -math.inf
+
+    def _emptied(self, customer: str, now: float) -> None:
+        since = self._standing.pop(customer, now)
+        if now - since >= BURST_SECONDS:
+            self._emptied_at[customer] = now
+        if len(self._emptied_at) > MOST_EMPTIED:
+            self._emptied_at = {
+                name: at for name, at in self._emptied_at.items() if now - at < REST_SECONDS
+            }
+
     def _save(self, now: float) -> None:
         """Regain starts beyond the limit for the time without a queue."""
         if self._rank is Rank.URGENT:
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -16,6 +16,7 @@
 from auburncart.coordination.owner import OwnedClaims
 from auburncart.coordination.policies import Policies
 from auburncart.coordination.search import SearchService
+from auburncart.coordination.shared_rates import SharedRates
 from auburncart.coordination.shutdown import Drain
 from auburncart.coordination.table import TableKeeper
 from auburncart.coordination.upstream import Upstream
@@ -55,6 +56,7 @@
         self._catalogue = Catalogue()
         self._tables = TableKeeper()
         self._drain = Drain(self._prepared)
+        self._rates = policies.rates
         policies.admission.follow(self._tables, self._catalogue)
         self._fleet = Fleet(self._make_upstream)
         self._searches = SearchService(
@@ -122,7 +124,12 @@
         shards = self._catalogue.follow(self._store, random.Random(f"{self._name}/shards"))
         self._tasks.append(asyncio.create_task(tables, name="table"))
         self._tasks.append(asyncio.create_task(shards, name="shards"))
-        self._tasks.append(asyncio.create_task(self._policies.rates.run(), name="rates"))
+        self._tasks.append(asyncio.create_task(self._rates.run(), name="rates"))
+
+    def share_rates(self, membership: Membership, bus: PeerBus) -> None:
+        """Share customers' rates with the other VMs; called before :meth:`start`."""
+        self._rates = SharedRates(bus, membership, self._catalogue.data_centres)
+        self._searches.keep_rates(self._rates)
 
     def share_claims(self, membership: Membership, bus: PeerBus) -> None:
         """Let one VM write each bucket of claims; call it before :meth:`start`."""
--- a/auburncart/coordination/policies.py
+++ b/auburncart/coordination/policies.py
@@ -16,7 +16,7 @@
 from auburncart.coordination.quarantine import NoQuarantine, Quarantine
 from auburncart.coordination.ranked import RankedAdmission
 from auburncart.coordination.ranked_batching import RankedBatching
-from auburncart.coordination.rates import NoRates, Rates
+from auburncart.coordination.rates import EqualRates, NoRates, Rates
 from auburncart.coordination.redial import BackoffRedialing, ImmediateRedialing, Redialing
 from auburncart.coordination.retry import BudgetedRetrying, Retrying, RetryThrice
 
@@ -70,8 +70,9 @@
     :param seed: seed of random draws.
     :param tolerance: slowing down of sub-queries above which less work is let in.
     """
+    sharing = sharing or (lambda: vms)
     return Policies(
-        admission=RankedAdmission(sharing or (lambda: vms), tolerance=tolerance),
+        admission=RankedAdmission(sharing, tolerance=tolerance),
         batching=RankedBatching(),
         choice=LeastLoadedChoice(seed),
         hedging=AdaptiveHedging(),
@@ -79,4 +80,5 @@
         quarantine=StrikeQuarantine(seed),
         retrying=BudgetedRetrying(seed=seed),
         redialing=BackoffRedialing(seed),
+        rates=EqualRates(sharing),
     )
--- a/auburncart/coordination/rates.py
+++ b/auburncart/coordination/rates.py
@@ -1,10 +1,11 @@
 """How many requests of a customer are let in each second."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from auburncart.state import Row
 
-__all__ = ["NoRates", "Rates", "TokenBucket"]
+__all__ = ["EqualRates", "NoRates", "Rates", "TokenBucket"]
 
 BURST_SECONDS = 0.5  # of the rate that may come at once
 
@@ -66,3 +67,25 @@
         grown = self._tokens + (now - self._at) * self._per_second
         self._tokens = min(self._most(), grown)
         self._at = now
+
+
+class EqualRates(Rates):
+    """Gives each VM an equal part of a rate, where VMs do not hear of each other.
+
+    :param vms: returns the number of VMs that share a rate.
+    """
+
+    def __init__(self, vms: Callable[[], int]) -> None:
+        self._vms = vms
+        self._buckets: dict[tuple[str, str], tuple[float, TokenBucket]] = {}
+
+    def take(self, customer: str, row: Row, now: float) -> float:
+        """Count one request against this VM's part."""
+        if row.max_rate <= 0:
+            return 0.0
+        part = row.max_rate / max(1, self._vms())
+        known, bucket = self._buckets.get((customer, row.kind)) or (0.0, TokenBucket(part, now))
+        if known != part:
+            bucket.change(part, now)
+            self._buckets[customer, row.kind] = (part, bucket)
+        return bucket.take(now)
--- a/auburncart/coordination/search.py
+++ b/auburncart/coordination/search.py
@@ -10,6 +10,7 @@
 from auburncart.coordination.observer import Observer
 from auburncart.coordination.pinning import NOT_READY, PinnedSearches
 from auburncart.coordination.policies import Policies
+from auburncart.coordination.rates import Rates
 from auburncart.coordination.table import TableKeeper
 from auburncart.state import (
     Refusal,
@@ -46,9 +47,14 @@
         self._catalogue = catalogue
         self._tables = tables
         self._policies = policies
+        self._rates = policies.rates
         self._pinned = PinnedSearches(catalogue, fleet, policies)
         self._observer = observer
 
+    def keep_rates(self, rates: Rates) -> None:
+        """Limit customers by other rates from now on."""
+        self._rates = rates
+
     async def search(self, request: SearchRequest) -> Result[SearchAnswer, Refusal]:
         """Answer one search, or refuse it with ``ran: no``."""
         found = self._row(request)
@@ -88,7 +94,7 @@
             arrival,
             cost,
         )
-        wait = self._policies.rates.take(request.customer, row, arrival)
+        wait = self._rates.take(request.customer, row, arrival)
         if wait > 0:
             return Error(_over_rate(wait))
         admitted = await self._policies.admission.admit(work, row)
