--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import uuid
+from collections.abc import Callable
 
 from auburncart.coordination.backoff import Backoff
 from auburncart.coordination.catalogue import Catalogue
@@ -55,6 +56,7 @@
         self._observer = observer
         self._catalogue = Catalogue()
         self._tables = TableKeeper()
+        self._requirements: list[Callable[[], bool]] = []
         self._drain = Drain(self._prepared)
         self._rates = policies.rates
         policies.admission.follow(self._tables, self._catalogue)
@@ -113,15 +115,28 @@
         """The service that carries out orders."""
         return self._orders
 
+    def require(self, check: Callable[[], bool]) -> None:
+        """Count as ready only while ``check()`` is true as well."""
+        self._requirements.append(check)
+
     async def wait_until_ready(self) -> None:
         """Wait for the first table and the first shard map."""
         await self._tables.wait()
         await self._catalogue.wait()
 
-    def start(self) -> None:
-        """Begin to follow the store, each object in a task of its own."""
+    def start(self, *, alone: bool = True) -> None:
+        """Begin to follow the store, each object in a task of its own.
+
+        :param alone: False if a :class:`Group` keeps the table and the shard map up to date.
+        """
+        if not alone:
+            return
         tables = self._tables.follow(self._store, random.Random(f"{self._name}/table"))
         shards = self._catalogue.follow(self._store, random.Random(f"{self._name}/shards"))
+        status = self._policies.draining.follow(
+            self._store, self._catalogue, random.Random(f"{self._name}/status")
+        )
+        self._tasks.append(asyncio.create_task(status, name="upstream status"))
         self._tasks.append(asyncio.create_task(tables, name="table"))
         self._tasks.append(asyncio.create_task(shards, name="shards"))
         self._tasks.append(asyncio.create_task(self._rates.run(), name="rates"))
@@ -131,6 +146,10 @@
         self._rates = SharedRates(bus, membership, self._catalogue.data_centres)
         self._searches.keep_rates(self._rates)
 
+    def share_losses(self, bus: PeerBus) -> None:
+        """Exchange with the other VMs which queries took an upstream down."""
+        self._policies.quarantine.join(bus)
+
     def share_claims(self, membership: Membership, bus: PeerBus) -> None:
         """Let one VM write each bucket of claims; call it before :meth:`start`."""
         self._holder.route(OwnedClaims(self._claims, membership, bus, self._catalogue.data_centres))
@@ -145,7 +164,8 @@
         await self._fleet.close()
 
     def _prepared(self) -> bool:
-        return self._tables.table is not None and self._catalogue.current is not None
+        in_force = self._tables.table is not None and self._catalogue.current is not None
+        return in_force and all(check() for check in self._requirements)
 
     def _make_holder(self) -> ClaimHolder:
         process = f"{self._name}/{uuid.uuid4().hex[:12]}"
@@ -173,6 +193,7 @@
             limit=self._policies.limit,
             quarantine=self._policies.quarantine,
             observer=self._observer,
-            pressure=self._policies.pressure(),
+            pressure=self._policies.pressure(replica),
             redialing=self._policies.redialing,
+            on_leaving=self._policies.draining.begin,
         )
--- a/auburncart/coordination/policies.py
+++ b/auburncart/coordination/policies.py
@@ -7,18 +7,19 @@
 from auburncart.coordination.batching import Batching, OnePerRequest
 from auburncart.coordination.capacity import TOLERANCE
 from auburncart.coordination.choice import ReplicaChoice, RoundRobinChoice
-from auburncart.coordination.drain import Draining, NoDraining
+from auburncart.coordination.drain import Draining, NoDraining, SignedDraining
 from auburncart.coordination.hedge import AdaptiveHedging, Hedging, NoHedging
 from auburncart.coordination.limits import ConnectionLimit, FixedLimit
 from auburncart.coordination.loaded import LeastLoadedChoice
 from auburncart.coordination.poison import StrikeQuarantine
-from auburncart.coordination.pressure import InFlightLimit, OpenInFlight
+from auburncart.coordination.pressure import AdaptiveInFlight, InFlightLimit, OpenInFlight
 from auburncart.coordination.quarantine import NoQuarantine, Quarantine
 from auburncart.coordination.ranked import RankedAdmission
 from auburncart.coordination.ranked_batching import RankedBatching
 from auburncart.coordination.rates import EqualRates, NoRates, Rates
 from auburncart.coordination.redial import BackoffRedialing, ImmediateRedialing, Redialing
 from auburncart.coordination.retry import BudgetedRetrying, Retrying, RetryThrice
+from auburncart.state import Replica
 
 __all__ = ["Policies", "baseline_policies", "default_policies"]
 
@@ -35,7 +36,7 @@
     retrying: Retrying
     redialing: Redialing = ImmediateRedialing()
     draining: Draining = NoDraining()
-    pressure: Callable[[], InFlightLimit] = OpenInFlight
+    pressure: Callable[[Replica], InFlightLimit] = OpenInFlight
     rates: Rates = NoRates()
 
 
@@ -80,5 +81,7 @@
         quarantine=StrikeQuarantine(seed),
         retrying=BudgetedRetrying(seed=seed),
         redialing=BackoffRedialing(seed),
+        draining=SignedDraining(),
+        pressure=AdaptiveInFlight,
         rates=EqualRates(sharing),
     )
--- a/auburncart/protocol/platform.py
+++ b/auburncart/protocol/platform.py
@@ -14,14 +14,17 @@
 from auburncart.exception import ProtocolError
 from auburncart.state import (
     AuditArchive,
+    CentreStatus,
     Claim,
     ClaimBucket,
     Condition,
     Member,
     Replica,
+    SeatPlans,
     Shard,
     ShardMap,
     TableDocument,
+    UpstreamStatus,
 )
 
 __all__ = [
@@ -144,10 +147,25 @@
     return ClaimBucket(int(fields["period"]), {claim.key: claim for claim in claims})
 
 
+def _decode_seats(fields: Any) -> SeatPlans:
+    plans = msgspec.convert(fields, type=SeatPlans)
+    if not plans.plans:
+        raise ValueError("no seat plan")
+    return plans
+
+
+def _decode_status(fields: Any) -> CentreStatus:
+    return msgspec.convert(fields, type=CentreStatus)
+
+
 def _decode_archive(fields: Any) -> AuditArchive:
     return msgspec.convert(fields, type=AuditArchive)
 
 
+def _decode_upstreams(fields: Any) -> UpstreamStatus:
+    return msgspec.convert(fields, type=UpstreamStatus)
+
+
 def _plain(value: Any) -> Any:
     return msgspec.to_builtins(value)
 
@@ -155,6 +173,9 @@
 CODECS: dict[str, _Codec] = {
     "table": _Codec(_plain, _decode_table),
     "shards": _Codec(_encode_map, _decode_map),
+    "upstreams": _Codec(_plain, _decode_upstreams),
     "claims": _Codec(_encode_claims, _decode_claims),
+    "status": _Codec(_plain, _decode_status),
+    "seats": _Codec(_plain, _decode_seats),
     "audit": _Codec(_plain, _decode_archive),
 }
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -8,6 +8,9 @@
     NoAnswer,
     QueryLoss,
     Roll,
+    SeatAsk,
+    SeatNews,
+    SeatSeen,
     StatusAsk,
     StatusNews,
     TableAsk,
@@ -52,7 +55,9 @@
     SubQuery,
     coverage_of,
 )
+from auburncart.state.seat import Seat, SeatPlan, SeatPlans
 from auburncart.state.shards import Replica, Shard, ShardMap
+from auburncart.state.status import CentreStatus, VmStatus
 from auburncart.state.table import (
     AuditArchive,
     AuditEntry,
@@ -68,6 +73,7 @@
     OrderReply,
     UpstreamCondition,
     UpstreamOrder,
+    UpstreamStatus,
 )
 from auburncart.state.work import Rank, Work
 
@@ -77,6 +83,7 @@
     "AuditEntry",
     "Batch",
     "BatchReply",
+    "CentreStatus",
     "Claim",
     "ClaimBucket",
     "ClaimChange",
@@ -124,6 +131,12 @@
     "Row",
     "SearchAnswer",
     "SearchRequest",
+    "Seat",
+    "SeatAsk",
+    "SeatNews",
+    "SeatPlan",
+    "SeatPlans",
+    "SeatSeen",
     "Shard",
     "ShardAnswer",
     "ShardMap",
@@ -137,8 +150,10 @@
     "TableNews",
     "UpstreamCondition",
     "UpstreamOrder",
+    "UpstreamStatus",
     "Verdict",
     "Versions",
+    "VmStatus",
     "Work",
     "coverage_of",
     "find_row",
