--- a/auburncart/coordination/policies.py
+++ b/auburncart/coordination/policies.py
@@ -60,6 +60,7 @@
 def default_policies(
     vms: int,
     sharing: Callable[[], int] | None = None,
+    tier: Callable[[], int] | None = None,
     seed: int = 0,
     tolerance: float = TOLERANCE,
 ) -> Policies:
@@ -68,12 +69,14 @@
     :param vms: number of VMs that may connect to one upstream.
     :param sharing: returns the number of VMs that share a limit of a data centre now; by default
         ``vms``.
+    :param tier: returns the number of VMs in all data centres now; by default ``vms``.
     :param seed: seed of random draws.
     :param tolerance: slowing down of sub-queries above which less work is let in.
     """
     sharing = sharing or (lambda: vms)
+    tier = tier or (lambda: vms)
     return Policies(
-        admission=RankedAdmission(sharing, tolerance=tolerance),
+        admission=RankedAdmission(sharing, tier, tolerance=tolerance),
         batching=RankedBatching(),
         choice=LeastLoadedChoice(seed),
         hedging=AdaptiveHedging(),
@@ -83,5 +86,5 @@
         redialing=BackoffRedialing(seed),
         draining=SignedDraining(),
         pressure=AdaptiveInFlight,
-        rates=EqualRates(sharing),
+        rates=EqualRates(tier),
     )
--- a/auburncart/coordination/ranked.py
+++ b/auburncart/coordination/ranked.py
@@ -71,7 +71,8 @@
     capacity, so that a flood of a less urgent rank does not stand in its way. A rank that waits
     is owed its floor of all that is let in, and goes first when it is owed enough.
 
-    :param vms: returns the number of VMs that share the slots and a row's ``max_in_flight``.
+    :param vms: returns the number of VMs that share a row's ``max_in_flight``.
+    :param tier: returns the number of VMs that share the slots of all upstreams.
     :param capacity: limits on the sub-queries at work; by default such that follow the upstreams.
     :param tolerance: slowing down that such limits allow.
     """
@@ -79,10 +80,12 @@
     def __init__(
         self,
         vms: Callable[[], int],
+        tier: Callable[[], int],
         capacity: Capacity | None = None,
         tolerance: float = TOLERANCE,
     ) -> None:
         self._vms = vms
+        self._tier = tier
         self._tables: TableKeeper | None = None
         self._catalogue: Catalogue | None = None
         self._capacity = capacity or AdaptiveCapacity(self._share, tolerance)
@@ -128,7 +131,7 @@
 
     def _share(self) -> float:
         room = self._catalogue.room if self._catalogue else 0.0
-        return room / max(1, self._vms())
+        return room / max(1, self._tier())
 
     def _early_refusal(self, work: Work, row: Row) -> Refusal | None:
         now = asyncio.get_running_loop().time()
--- a/auburncart/coordination/tests/test_ranked.py
+++ b/auburncart/coordination/tests/test_ranked.py
@@ -23,7 +23,7 @@
         self.tables = TableKeeper()
         self.tables.install(TableDocument(Table(1, (), FLOORS)))
         capacity = FixedCapacity(limit, SERVICE_SECONDS)
-        self.admission = RankedAdmission(lambda: vms, capacity)
+        self.admission = RankedAdmission(lambda: vms, lambda: vms, capacity)
         self.admission.follow(self.tables, Catalogue())
         self.served: Counter[tuple[str, Rank]] = Counter()
         self.refusals: list = []
--- a/auburncart/daemon/entry.py
+++ b/auburncart/daemon/entry.py
@@ -134,6 +134,7 @@
         policies = default_policies(
             self._settings.connecting_vms,
             self._sharing,
+            self._tier,
             seed=_seed(self._settings),
             tolerance=self._settings.load_tolerance,
         )
@@ -155,6 +156,7 @@
         group.share_connections(self._shares, self._node.fleet)
         self._node.drain.when_leaving(group.leave)
         self._node.require(lambda: group.ready)
+        self._node.share_rates(group.membership, group.bus)
         return Peering(group, self._settings.peer_address)
 
     def _sharing(self) -> int:
@@ -162,6 +164,12 @@
             return self._settings.connecting_vms
         return self._peering.group.membership.possible(self._settings.data_centre)
 
+    def _tier(self) -> int:
+        if self._peering is None:
+            return self._settings.connecting_vms
+        membership = self._peering.group.membership
+        return sum(membership.possible(name) for name in membership.data_centres())
+
 
 def _seed(settings: EntrySettings) -> int:
     return zlib.crc32(settings.name.encode())
