--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -17,7 +17,6 @@
 from auburncart.coordination.owner import OwnedClaims
 from auburncart.coordination.policies import Policies
 from auburncart.coordination.search import SearchService
-from auburncart.coordination.shared_rates import SharedRates
 from auburncart.coordination.shutdown import Drain
 from auburncart.coordination.table import TableKeeper
 from auburncart.coordination.upstream import Upstream
@@ -36,6 +35,8 @@
     :param policies: the policies to decide by.
     :param observer: told of what happens.
     :param epoch: seconds since the epoch at loop time 0.
+    :param tables: the table in force, if it is shared with a :class:`Group`.
+    :param catalogue: the shard map in force, if it is shared with a :class:`Group`.
     """
 
     def __init__(
@@ -47,6 +48,8 @@
         policies: Policies,
         observer: Observer,
         epoch: float = 0.0,
+        tables: TableKeeper | None = None,
+        catalogue: Catalogue | None = None,
     ) -> None:
         self._name = name
         self._data_centre = data_centre
@@ -54,11 +57,10 @@
         self._dialer = dialer
         self._policies = policies
         self._observer = observer
-        self._catalogue = Catalogue()
-        self._tables = TableKeeper()
+        self._catalogue = catalogue or Catalogue()
+        self._tables = tables or TableKeeper()
         self._requirements: list[Callable[[], bool]] = []
         self._drain = Drain(self._prepared)
-        self._rates = policies.rates
         policies.admission.follow(self._tables, self._catalogue)
         self._fleet = Fleet(self._make_upstream)
         self._searches = SearchService(
@@ -129,6 +131,7 @@
 
         :param alone: False if a :class:`Group` keeps the table and the shard map up to date.
         """
+        self._tasks.append(asyncio.create_task(self._policies.rates.run(), name="rates"))
         if not alone:
             return
         tables = self._tables.follow(self._store, random.Random(f"{self._name}/table"))
@@ -139,12 +142,6 @@
         self._tasks.append(asyncio.create_task(status, name="upstream status"))
         self._tasks.append(asyncio.create_task(tables, name="table"))
         self._tasks.append(asyncio.create_task(shards, name="shards"))
-        self._tasks.append(asyncio.create_task(self._rates.run(), name="rates"))
-
-    def share_rates(self, membership: Membership, bus: PeerBus) -> None:
-        """Share customers' rates with the other VMs; called before :meth:`start`."""
-        self._rates = SharedRates(bus, membership, self._catalogue.data_centres)
-        self._searches.keep_rates(self._rates)
 
     def share_losses(self, bus: PeerBus) -> None:
         """Exchange with the other VMs which queries took an upstream down."""
--- a/auburncart/scenario/virtual.py
+++ b/auburncart/scenario/virtual.py
@@ -82,7 +82,6 @@
         self.node = Node(name, self.data_centre, store, dialer, policies, SilentObserver())
         bus = FakeBus(self.member, self._network)
         self.node.share_claims(FakeMembership(self.member, members), bus)
-        self.node.share_rates(FakeMembership(self.member, members), bus)
         policies.quarantine.join(bus)
         self.node.start()
 
