--- a/auburncart/coordination/lane.py
+++ b/auburncart/coordination/lane.py
@@ -10,8 +10,12 @@
 __all__ = ["Gate", "Lane", "Waiter"]
 
 RATE_WEIGHT = 0.2  # share of a new measurement in the moving average
+SPARE_STARTS = 1.0  # urgent requests that may start beyond the limit after a time without a queue
+SPARE_STARTS_PER_SECOND = 1.0
 BURST_SECONDS = 0.05  # a queue that does not empty for longer is no burst
-STANDING_WAIT_TIMES = 1.0  # sub-query times that an urgent request waits in a standing queue
+REST_SECONDS = 0.2  # time without a queue after which the next one is a burst again
+MOST_EMPTIED = 1024  # customers whose emptied queues are remembered
+STANDING_WAIT_TIMES = 0.4  # sub-query times that an urgent request waits in a standing queue
 
 
 class Waiter:
@@ -69,6 +73,9 @@
         self._pace = 0.0
         self._last_grant = 0.0
         self._standing: dict[str, float] = {}
+        self._emptied_at: dict[str, float] = {}
+        self._spare = SPARE_STARTS if rank is Rank.URGENT else 0.0
+        self._empty_since = 0.0
         self.gate = Gate(capacity, rank)
         self.queue: FairQueue[Waiter] = FairQueue()
         self.credit = 0.0
@@ -78,22 +85,31 @@
         if not self.queue:
             self._last_grant = now
             self.credit = 0.0
+            self._save(now)
         work, row = waiter.work, waiter.row
         waiter.queued_at = now
-        self._standing.setdefault(work.customer, now)
+        self._standing.setdefault(work.customer, self._queue_start(work.customer, now))
         self.queue.push(work.customer, work.kind, work.cost, row.weight, waiter)
 
+    def may_start(self, now: float) -> bool:
+        """Return whether the next request may start now, by the gate or beyond it."""
+        return self.gate.open(now) or self._spare >= 1.0
+
     def granted(self, waiter: Waiter, now: float) -> None:
         """Take in that a request left the queue to start."""
+        if not self.gate.open(now) and self._spare >= 1.0:
+            self._spare -= 1.0
         seconds = (now - self._last_grant) / waiter.work.cost
         self._pace += (RATE_WEIGHT if self._pace else 1.0) * (seconds - self._pace)
         self._last_grant = now
-        self.left(waiter)
+        self.left(waiter, now)
 
-    def left(self, waiter: Waiter) -> None:
+    def left(self, waiter: Waiter, now: float) -> None:
         """Take in that a request left the queue."""
         if not self.queue.cost(waiter.work.customer):
-            self._standing.pop(waiter.work.customer, None)
+            self._emptied(waiter.work.customer, now)
+        if not self.queue:
+            self._empty_since = now
 
     def earn(self, amount: float) -> None:
         """Add to what the rank is owed while it waits."""
@@ -102,7 +118,7 @@
 
     def wait(self, work: Work, row: Row, now: float) -> float:
         """Estimate the seconds that a new request would wait, from the pace of the last ones."""
-        if not self.queue and self.gate.open(now):
+        if not self.queue and self.may_start(now):
             return 0.0
         cost = self.queue.cost(work.customer) + work.cost
         share = self.queue.share(work.customer, row.weight)
@@ -126,6 +142,26 @@
         longest = self.longest_wait(waiter.work.customer, now)
         return waiter if now > min(waiter.latest, waiter.queued_at + longest) else None
 
+    def _queue_start(self, customer: str, now: float) -> float:
+        """Return since when a customer's queue counts; a standing one may empty for a moment."""
+        rested = now - self._emptied_at.pop(customer, -math.inf) >= REST_SECONDS
+        return now if rested else -math.inf
+
+    def _emptied(self, customer: str, now: float) -> None:
+        since = self._standing.pop(customer, now)
+        if now - since >= BURST_SECONDS:
+            self._emptied_at[customer] = now
+        if len(self._emptied_at) > MOST_EMPTIED:
+            self._emptied_at = {
+                name: at for name, at in self._emptied_at.items() if now - at < REST_SECONDS
+            }
+
+    def _save(self, now: float) -> None:
+        """Regain starts beyond the limit for the time without a queue."""
+        if self._rank is Rank.URGENT:
+            saved = self._spare + (now - self._empty_since) * SPARE_STARTS_PER_SECOND
+            self._spare = min(SPARE_STARTS, saved)
+
     def _present_pace(self, now: float) -> float:
         expected = self._capacity.seconds / self._capacity.limit(self._rank)
         first = self.queue.peek(lambda waiter: True)
--- a/auburncart/coordination/policies.py
+++ b/auburncart/coordination/policies.py
@@ -16,7 +16,7 @@
 from auburncart.coordination.quarantine import NoQuarantine, Quarantine
 from auburncart.coordination.ranked import RankedAdmission
 from auburncart.coordination.ranked_batching import RankedBatching
-from auburncart.coordination.rates import NoRates, Rates
+from auburncart.coordination.rates import EqualRates, NoRates, Rates
 from auburncart.coordination.redial import BackoffRedialing, ImmediateRedialing, Redialing
 from auburncart.coordination.retry import BudgetedRetrying, Retrying, RetryThrice
 from auburncart.state import Replica
@@ -60,6 +60,7 @@
 def default_policies(
     vms: int,
     sharing: Callable[[], int] | None = None,
+    tier: Callable[[], int] | None = None,
     seed: int = 0,
     tolerance: float = TOLERANCE,
 ) -> Policies:
@@ -68,11 +69,14 @@
     :param vms: number of VMs that may connect to one upstream.
     :param sharing: returns the number of VMs that share a limit of a data centre now; by default
         ``vms``.
+    :param tier: returns the number of VMs in all data centres now; by default ``vms``.
     :param seed: seed of random draws.
     :param tolerance: slowing down of sub-queries above which less work is let in.
     """
+    sharing = sharing or (lambda: vms)
+    tier = tier or (lambda: vms)
     return Policies(
-        admission=RankedAdmission(sharing or (lambda: vms), tolerance=tolerance),
+        admission=RankedAdmission(sharing, tier, tolerance=tolerance),
         batching=RankedBatching(),
         choice=LeastLoadedChoice(seed),
         hedging=AdaptiveHedging(),
@@ -82,4 +86,5 @@
         redialing=BackoffRedialing(seed),
         draining=SignedDraining(),
         pressure=AdaptiveInFlight,
+        rates=EqualRates(tier),
     )
--- a/auburncart/coordination/ranked.py
+++ b/auburncart/coordination/ranked.py
@@ -71,7 +71,8 @@
     capacity, so that a flood of a less urgent rank does not stand in its way. A rank that waits
     is owed its floor of all that is let in, and goes first when it is owed enough.
 
-    :param vms: returns the number of VMs that share the slots and a row's ``max_in_flight``.
+    :param vms: returns the number of VMs that share a row's ``max_in_flight``.
+    :param tier: returns the number of VMs that share the slots of all upstreams.
     :param capacity: limits on the sub-queries at work; by default such that follow the upstreams.
     :param tolerance: slowing down that such limits allow.
     """
@@ -79,10 +80,12 @@
     def __init__(
         self,
         vms: Callable[[], int],
+        tier: Callable[[], int],
         capacity: Capacity | None = None,
         tolerance: float = TOLERANCE,
     ) -> None:
         self._vms = vms
+        self._tier = tier
         self._tables: TableKeeper | None = None
         self._catalogue: Catalogue | None = None
         self._capacity = capacity or AdaptiveCapacity(self._share, tolerance)
@@ -128,7 +131,7 @@
 
     def _share(self) -> float:
         room = self._catalogue.room if self._catalogue else 0.0
-        return room / max(1, self._vms())
+        return room / max(1, self._tier())
 
     def _early_refusal(self, work: Work, row: Row) -> Refusal | None:
         now = asyncio.get_running_loop().time()
@@ -169,7 +172,7 @@
         waiter.queued = False
         lane = self._lanes[work.rank]
         lane.queue.remove(work.customer, work.kind, waiter)
-        lane.left(waiter)
+        lane.left(waiter, asyncio.get_running_loop().time())
         _subtract(self._queued, _row_key(work))
 
     def _measure(self, work: Work, seconds: float, in_use: dict[Rank, float]) -> None:
@@ -209,7 +212,7 @@
             if waiter is not None and lane.credit >= waiter.work.cost:
                 return lane
         for lane in self._lanes.values():
-            if lane.gate.open(now) and lane.queue.peek(self._ready) is not None:
+            if lane.may_start(now) and lane.queue.peek(self._ready) is not None:
                 return lane
         return None
 
--- a/auburncart/daemon/entry.py
+++ b/auburncart/daemon/entry.py
@@ -135,6 +135,7 @@
         policies = default_policies(
             self._settings.connecting_vms,
             peering.sharing if peering else None,
+            peering.tier if peering else None,
             seed=zlib.crc32(self._settings.name.encode()),
             tolerance=self._settings.load_tolerance,
         )
--- a/auburncart/daemon/peering.py
+++ b/auburncart/daemon/peering.py
@@ -59,6 +59,11 @@
         membership = self._group.membership
         return membership.possible(membership.own.data_centre)
 
+    def tier(self) -> int:
+        """Return the number of VMs in all data centres now."""
+        membership = self._group.membership
+        return sum(membership.possible(name) for name in membership.data_centres())
+
     def share(self, policies: Policies) -> Policies:
         """Return policies that keep to limits together with the other VMs."""
         rates = SharedRates(self._group.bus, self._group.membership, self._catalogue.data_centres)
