--- a/auburncart/bench/site.py
+++ b/auburncart/bench/site.py
@@ -86,6 +86,8 @@
 class SiteFile(NamedTuple):
     """A deployment.
 
+    :param placement: ``spread`` if a service has its replicas in all, each in the next data centre;
+        ``each`` if it has them in every data centre.
     :param load: arrivals in calm as a share of capacity.
     :param places: searches at work at the same time on a VM, where a policy fixes their number.
     """
@@ -97,11 +99,18 @@
     kinds: tuple[Kind, ...]
     load: Positive
     places: Count
+    placement: Literal["spread", "each"] = "spread"
+
+    @property
+    def copies(self) -> int:
+        """Number of data centres that hold the replicas of every service."""
+        return len(self.data_centres) if self.placement == "each" else 1
 
     @property
     def capacity(self) -> float:
         """Searches per second that the busiest service takes, one sub-query in each request."""
-        return min(group.replicas * group.slots / group.mean_seconds for group in self.groups)
+        one = min(group.replicas * group.slots / group.mean_seconds for group in self.groups)
+        return one * self.copies
 
     @property
     def vms(self) -> int:
--- a/auburncart/bench/tests/test_run.py
+++ b/auburncart/bench/tests/test_run.py
@@ -81,6 +81,14 @@
         with self.assertRaisesRegex(InputError, "no site"):
             load_site("nowhere")
 
+    def test_placement_in_each_data_centre_gives_every_vm_local_replicas(self) -> None:
+        tier = Tier(small_site()._replace(placement="each"), "baseline", 1, CountingObserver())
+        for shard in tier.shards:
+            replicas = tier.shard_map.shards[shard].replicas
+            centres = sorted(replica.data_centre for replica in replicas)
+            self.assertEqual(set(centres), {"dc1", "dc2", "dc3"}, shard)
+            self.assertEqual(len(centres) % 3, 0)
+
     def test_every_case_and_site_of_the_list_is_there(self) -> None:
         self.assertEqual(len(CASES), 15)
         for name in SITES:
--- a/auburncart/bench/tier.py
+++ b/auburncart/bench/tier.py
@@ -91,12 +91,16 @@
 
 
 def make_shapes(site: SiteFile) -> list[PlacedShape]:
-    """Return all upstreams of a deployment; replica k of service s stands in s + k."""
+    """Return all upstreams of a deployment.
+
+    Replica k of service s stands in data centre s + k, or in every data centre where the placement
+    says so.
+    """
     centres = [centre.name for centre in site.data_centres]
     placed = []
     for number, group in enumerate(site.groups):
         for service in range(group.services):
-            for copy in range(group.replicas):
+            for copy in range(group.replicas * site.copies):
                 name = f"{group.name}-{service:02}"
                 shape = UpstreamShape(
                     f"10.{number}.{service}.{copy}:80",
--- a/auburncart/command/bench.py
+++ b/auburncart/command/bench.py
@@ -3,6 +3,7 @@
 import asyncio
 import sys
 from pathlib import Path
+from typing import Literal
 
 import msgspec
 from cyclopts import App
@@ -40,6 +41,7 @@
     seed: int = 1,
     seconds: float = DEFAULT_SECONDS,
     json: bool = False,
+    placement: Literal["spread", "each"] | None = None,
     plot: Path | None = None,
 ) -> int:
     """Run one case on virtual time over the real decisions, and print its figures.
@@ -51,9 +53,13 @@
     :param seed: seed of arrivals, service times and faults; the same seed gives the same figures.
     :param seconds: measured time in virtual seconds, after one second of warm-up.
     :param json: print one JSON array in place of the table.
+    :param placement: where replicas stand, in place of what the site's file says: ``spread`` over
+        the data centres, or as many in ``each``.
     :param plot: file for a picture of latency by rank and coverage over time, such as ``run.svg``.
     """
     loaded = load_site(site)
+    if placement is not None:
+        loaded = loaded._replace(placement=placement)
     names = BOTH if policies == "both" else (policies,)
     results = [run_case(loaded, case, name, seed, seconds) for name in names]
     if plot is not None:
