--- a/auburncart/bench/tier.py
+++ b/auburncart/bench/tier.py
@@ -67,7 +67,12 @@
     shares.install(SeatPlans((SeatPlan(1, tuple(seats.values())),)))
     for seat in seats.values():
         shares.confirm(seat, 1)
-    policies = default_policies(parts.vms, lambda: membership.possible(centre), _seed(parts))
+    policies = default_policies(
+        parts.vms,
+        lambda: membership.possible(centre),
+        lambda: len(membership.members),
+        _seed(parts),
+    )
     return policies._replace(limit=shares)
 
 
--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -73,6 +73,7 @@
     OrderReply,
     UpstreamCondition,
     UpstreamOrder,
+    UpstreamStatus,
 )
 from auburncart.state.work import Rank, Work
 
--- a/auburncart/state/upstream.py
+++ b/auburncart/state/upstream.py
@@ -12,6 +12,7 @@
     "OrderReply",
     "UpstreamCondition",
     "UpstreamOrder",
+    "UpstreamStatus",
 ]
 
 
@@ -74,3 +75,12 @@
     accepted: bool
     outcome: Any
     condition: UpstreamCondition = UpstreamCondition.READY
+
+
+class UpstreamStatus(NamedTuple):
+    """The platform's view of the upstreams, which may lag or mislead.
+
+    :param leaving: addresses of the upstreams that are about to leave.
+    """
+
+    leaving: tuple[str, ...] = ()
