VMs of scenarios on processes end within the time that the harness waits

The harness ends the platform at the same moment, and a VM that still has an end of a claim to store waits for it as long as shutdown_seconds, 30 by default. Likely the cause, not traced; the harness now sets 4 s.

--- a/auburncart/scenario/tests/real.py
+++ b/auburncart/scenario/tests/real.py
@@ -23,6 +23,7 @@
 
 START_SECONDS = 30.0
 STOP_SECONDS = 15.0
+SHUTDOWN_SECONDS = 4.0  # twice this and the lag are below STOP_SECONDS
 POLL_SECONDS = 0.1
 SLACK_SECONDS = 10.0
 REFUSED = 400
@@ -179,6 +180,7 @@
             "platform_address": self._addresses["platform"],
             "connecting_vms": vms,
             "balancer_lag_seconds": self._lag,
+            "shutdown_seconds": SHUTDOWN_SECONDS,
             "log_file": "",
             **self._peer_fields(),
         }
