--- a/auburncart/daemon/peering.py
+++ b/auburncart/daemon/peering.py
@@ -1,57 +1,77 @@
-"""The daemon's part in the tier: its listener for peers, and its group."""
+"""The daemon's part in the tier: its listener, its group, and what it shares with peers."""
 
+import time
 import zlib
 
-from auburncart.coordination import Node, Observer, Store
+from auburncart.coordination import Catalogue, Node, Observer, Store, TableKeeper
 from auburncart.coordination.group import Group
 from auburncart.coordination.handshake import KeyRing
+from auburncart.coordination.policies import Policies
+from auburncart.coordination.seats import SeatShares
+from auburncart.coordination.shared_rates import SharedRates
 from auburncart.settings import EntrySettings
-from auburncart.state import Member
+from auburncart.state import Member, Seat
 from auburncart.transport.peer import WebSocketDialer, WebSocketListener
 
-__all__ = ["Peering", "make_group"]
+__all__ = ["Peering"]
 
 
-def make_group(
-    settings: EntrySettings,
-    incarnation: int,
-    store: Store,
-    node: Node,
-    observer: Observer,
-    epoch: float,
-) -> Group:
-    """Return the group of a VM whose settings name an address for peers.
+class Peering:
+    """Takes part in the tier for a VM whose settings name an address for peers.
 
     :param epoch: seconds since the epoch at loop time 0.
     """
-    return Group(
-        Member(settings.peer_address, settings.data_centre, incarnation),
-        settings.peer_seeds,
-        store,
-        WebSocketDialer(),
-        KeyRing(settings.peer_keys),
-        node.tables,
-        node.catalogue,
-        observer,
-        zlib.crc32(f"{settings.name}/{incarnation}".encode()),
-        epoch,
-    )
 
+    def __init__(
+        self, settings: EntrySettings, store: Store, observer: Observer, epoch: float
+    ) -> None:
+        own = Member(settings.peer_address, settings.data_centre, int(time.time() * 1000))
+        seat = Seat(own.address, own.incarnation)
+        self._tables = TableKeeper()
+        self._catalogue = Catalogue()
+        self._shares = SeatShares(seat, own.data_centre, settings.data_centres)
+        self._group = Group(
+            own,
+            settings.peer_seeds,
+            store,
+            WebSocketDialer(),
+            KeyRing(settings.peer_keys),
+            self._tables,
+            self._catalogue,
+            observer,
+            zlib.crc32(f"{settings.name}/{own.incarnation}".encode()),
+            epoch,
+        )
+        self._listener = WebSocketListener(own.address, self._group.accept)
 
-class Peering:
-    """Listens for peers and takes part in the tier.
+    @property
+    def tables(self) -> TableKeeper:
+        """The table in force."""
+        return self._tables
 
-    :param address: ``"IP:port"`` to listen on.
-    """
+    @property
+    def catalogue(self) -> Catalogue:
+        """The shard map in force."""
+        return self._catalogue
 
-    def __init__(self, group: Group, address: str) -> None:
-        self._group = group
-        self._listener = WebSocketListener(address, group.accept)
+    def sharing(self) -> int:
+        """Return the number of VMs that share a limit of this data centre now."""
+        membership = self._group.membership
+        return membership.possible(membership.own.data_centre)
 
-    @property
-    def group(self) -> Group:
-        """This VM's part in the tier."""
-        return self._group
+    def share(self, policies: Policies) -> Policies:
+        """Return policies that keep to limits together with the other VMs."""
+        rates = SharedRates(self._group.bus, self._group.membership, self._catalogue.data_centres)
+        return policies._replace(limit=self._shares, rates=rates)
+
+    def attach(self, node: Node) -> None:
+        """Share a node's connections and claims, and tell the others when it leaves."""
+        group = self._group
+        group.share_connections(self._shares, node.fleet)
+        node.drain.when_leaving(group.leave)
+        node.require(lambda: group.ready)
+        node.share_losses(group.bus)
+        node.share_claims(group.membership, group.bus)
 
     async def start(self) -> None:
         """Listen, then look for the others."""
