--- a/auburncart/state/__init__.py
+++ b/auburncart/state/__init__.py
@@ -74,7 +74,6 @@
     OrderReply,
     UpstreamCondition,
     UpstreamOrder,
-    UpstreamStatus,
 )
 from auburncart.state.work import Rank, Work
 
--- a/auburncart/state/upstream.py
+++ b/auburncart/state/upstream.py
@@ -12,7 +12,6 @@
     "OrderReply",
     "UpstreamCondition",
     "UpstreamOrder",
-    "UpstreamStatus",
 ]
 
 
@@ -75,12 +74,3 @@
     accepted: bool
     outcome: Any
     condition: UpstreamCondition = UpstreamCondition.READY
-
-
-class UpstreamStatus(NamedTuple):
-    """The platform's view of the upstreams, which may lag or mislead.
-
-    :param leaving: addresses of the upstreams that are about to leave.
-    """
-
-    leaving: tuple[str, ...] = ()
