--- a/auburncart/daemon/peering.py
+++ b/auburncart/daemon/peering.py
@@ -72,7 +72,6 @@
         node.require(lambda: group.ready)
         node.share_losses(group.bus)
         node.share_claims(group.membership, group.bus)
-        node.share_losses(group.bus)
 
     async def start(self) -> None:
         """Listen, then look for the others."""
