Half of a replica's connections are for other data centres, so that each VM reaches it

Of 25 connections a fifth, 2 for each of two other data centres, went to one of three VMs there, since a VM needs two.

Change: a half (13, 6, 6). Three local VMs keep 4 or 5 each, beside two slots.

Ruled out: a least share of one connection, which cannot carry a cancel beside the request; sharing by all VMs of the tier in one plan, which a cut between data centres would make unsafe.

The new test fails with a fifth ('0 not greater than or equal to 2') and passes with a half.

--- a/auburncart/coordination/seats.py
+++ b/auburncart/coordination/seats.py
@@ -24,7 +24,7 @@
 __all__ = ["SeatShares", "pool_of", "seats_key", "share_of"]
 
 LEAST_CONNECTIONS = 2  # each VM that may talk to a replica holds up to this many or more
-FAR_PART = 5  # one part in this many of a replica's connections is for other data centres
+FAR_PART = 2  # one part in this many of a replica's connections is for other data centres
 
 
 def seats_key(data_centre: str) -> Key[SeatPlans]:
@@ -40,7 +40,7 @@
 
     >>> replica = Replica("10.0.0.1:80", "dc1", connections=25)
     >>> [pool_of(replica, name, 3) for name in ("dc1", "dc2", "dc3")]
-    [21, 2, 2]
+    [13, 6, 6]
     """
     others = data_centres - 1
     far = replica.connections // FAR_PART // others if others else 0
--- a/auburncart/coordination/tests/test_seats.py
+++ b/auburncart/coordination/tests/test_seats.py
@@ -164,3 +164,19 @@
                 replica = Replica("10.1.0.1:80", "dc0", connections=connections)
                 pools = [pool_of(replica, f"dc{number}", count) for number in range(count)]
                 self.assertEqual(sum(pools), connections)
+
+
+class TodayTest(unittest.TestCase):
+    def test_each_of_nine_vms_over_three_data_centres_reaches_each_replica(self) -> None:
+        """Three VMs in each data centre; each needs one connection for work, one for cancels."""
+        for connections in (25, 40, 100):
+            held = 0
+            replica = Replica("10.1.0.1:80", "dc1", connections=connections)
+            for centre in ("dc1", "dc2", "dc3"):
+                seats = tuple(Seat(f"10.{centre[2]}.0.{number}:7000", 1) for number in range(3))
+                plan = SeatPlan(1, seats)
+                pool = pool_of(replica, centre, 3)
+                shares = [share_of(seat, plan, replica, pool) for seat in seats]
+                self.assertGreaterEqual(min(shares), 2, (centre, connections))
+                held += sum(shares)
+            self.assertLessEqual(held, connections)
