Requests at work are limited by what an upstream sheds, not by its latency

With ranked admission in force a request held back by the latency limit waits here as long as in the upstream's queue, while a slot may stand idle.

Change: SheddingInFlight (sheds alone) is in force; AdaptiveInFlight is the same with the latency half and stays for comparison.

--- a/auburncart/coordination/policies.py
+++ b/auburncart/coordination/policies.py
@@ -12,7 +12,7 @@
 from auburncart.coordination.limits import ConnectionLimit, FixedLimit
 from auburncart.coordination.loaded import LeastLoadedChoice
 from auburncart.coordination.poison import StrikeQuarantine
-from auburncart.coordination.pressure import AdaptiveInFlight, InFlightLimit, OpenInFlight
+from auburncart.coordination.pressure import InFlightLimit, OpenInFlight, SheddingInFlight
 from auburncart.coordination.quarantine import NoQuarantine, Quarantine
 from auburncart.coordination.ranked import RankedAdmission
 from auburncart.coordination.ranked_batching import RankedBatching
@@ -85,6 +85,6 @@
         retrying=BudgetedRetrying(seed=seed),
         redialing=BackoffRedialing(seed),
         draining=SignedDraining(),
-        pressure=AdaptiveInFlight,
+        pressure=SheddingInFlight,
         rates=EqualRates(tier),
     )
--- a/auburncart/coordination/pressure.py
+++ b/auburncart/coordination/pressure.py
@@ -5,7 +5,7 @@
 
 from auburncart.state import Replica
 
-__all__ = ["AdaptiveInFlight", "InFlightLimit", "OpenInFlight"]
+__all__ = ["AdaptiveInFlight", "InFlightLimit", "OpenInFlight", "SheddingInFlight"]
 
 UNBOUNDED = 1_000_000
 BASE_WEIGHT = 0.1  # share of a new time in the average of times without own contention
@@ -69,13 +69,11 @@
         """Ignore the event."""
 
 
-class AdaptiveInFlight(InFlightLimit):
-    """Starts at the upstream's slots, grows while that costs no time, and backs off.
+class SheddingInFlight(InFlightLimit):
+    """Starts at all connections and backs off only when the upstream sheds.
 
-    The time of a request among others is compared with the time of a request of about the same
-    size that was alone: where it has risen, the upstream queues what this VM could queue itself,
-    by rank and where it can still be moved. A shed request halves the limit; at one request the
-    upstream is left alone for a time that doubles.
+    A shed request halves the limit; at one request the upstream is left alone for a time that
+    doubles. Replies that come while the limit is in use raise it again.
 
     :param replica: what the shard map says of the upstream.
     """
@@ -83,9 +81,7 @@
     def __init__(self, replica: Replica) -> None:
         super().__init__(replica)
         self._random = random.Random(replica.address)
-        self._limit = float(replica.slots)
-        self._base: dict[int, float] = {}
-        self._rise = 1.0
+        self._limit = float(replica.connections)
         self._cut_at = float("-inf")
         self._pause = 0.0
         self._resumes_at = 0.0
@@ -99,24 +95,15 @@
         return self._resumes_at
 
     def record_reply(self, seconds: float, subs: int, in_flight: int, now: float) -> None:
-        """Grow or back off by the time that a request took."""
+        """Grow if the limit was in use."""
         self._pause = 0.0
-        size = subs.bit_length()
-        base = self._base.get(size)
-        if in_flight <= 1 or base is None:
-            weight = BASE_WEIGHT if base is not None else 1.0
-            self._base[size] = seconds if base is None else base + weight * (seconds - base)
-            self._rise += RISE_WEIGHT * (1.0 - self._rise)
-        else:
-            self._rise += RISE_WEIGHT * (seconds / base - self._rise)
-        if self._rise > MOST_RISE:
-            self._cut(LATENCY_CUT, now)
-        elif in_flight >= int(self._limit):
+        if in_flight >= int(self._limit):
             self._limit = min(self._limit + GROWTH, float(self._replica.connections))
 
     def record_shed(self, in_flight: int, now: float) -> None:
         """Back off; leave the upstream alone for a moment if one request was too many."""
         if in_flight > 1 and self._limit > 1.0:
+            self._limit = min(self._limit, float(in_flight))
             self._cut(SHED_CUT, now)
             return
         self._limit = 1.0
@@ -127,3 +114,40 @@
         if now - self._cut_at >= CUT_SECONDS:
             self._cut_at = now
             self._limit = max(1.0, self._limit * factor)
+
+
+class AdaptiveInFlight(SheddingInFlight):
+    """Starts at the upstream's slots, grows while that costs no time, and backs off.
+
+    The time of a request among others is compared with the time of a request of about the same
+    size that was alone: where it has risen, the upstream queues what this VM could queue itself,
+    by rank and where it can still be moved.
+
+    :param replica: what the shard map says of the upstream.
+    """
+
+    def __init__(self, replica: Replica) -> None:
+        super().__init__(replica)
+        self._limit = float(replica.slots)
+        self._base: dict[int, float] = {}
+        self._rise = 1.0
+
+    def record_reply(self, seconds: float, subs: int, in_flight: int, now: float) -> None:
+        """Grow or back off by the time that a request took."""
+        self._learn(seconds, subs.bit_length(), in_flight)
+        if self._rise > MOST_RISE:
+            self._pause = 0.0
+            self._cut(LATENCY_CUT, now)
+        else:
+            super().record_reply(seconds, subs, in_flight, now)
+
+    def _learn(self, seconds: float, size: int, in_flight: int) -> None:
+        base = self._base.get(size)
+        if base is None:
+            self._base[size] = seconds
+            self._rise += RISE_WEIGHT * (1.0 - self._rise)
+        elif in_flight <= 1:
+            self._base[size] = base + BASE_WEIGHT * (seconds - base)
+            self._rise += RISE_WEIGHT * (1.0 - self._rise)
+        else:
+            self._rise += RISE_WEIGHT * (seconds / base - self._rise)
--- a/auburncart/coordination/tests/test_pressure.py
+++ b/auburncart/coordination/tests/test_pressure.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from auburncart.coordination.pressure import AdaptiveInFlight, OpenInFlight
+from auburncart.coordination.pressure import AdaptiveInFlight, OpenInFlight, SheddingInFlight
 from auburncart.coordination.tests.trial import both
 from auburncart.state import Replica, UpstreamCondition
 from auburncart.tests.site import Site, search_request
@@ -95,18 +95,22 @@
     async def test_an_upstream_that_sheds_gets_few_requests_and_then_its_full_part(self) -> None:
         open_site = Site(shards=1, replicas=1, policies=both())
         sent_open, _ = await self._requests_while_shedding(open_site)
-        limited = both()._replace(pressure=AdaptiveInFlight)
-        site = Site(shards=1, replicas=1, policies=limited)
-        sent, back = await self._requests_while_shedding(site)
         self.assertGreater(sent_open, 100)
-        self.assertLessEqual(sent, 20)
-        self.assertTrue(back)
+        for pressure in (AdaptiveInFlight, SheddingInFlight):
+            site = Site(shards=1, replicas=1, policies=both()._replace(pressure=pressure))
+            sent, back = await self._requests_while_shedding(site)
+            self.assertLessEqual(sent, 20, pressure)
+            self.assertTrue(back, pressure)
 
     @virtual_time
     async def test_a_shard_whose_replicas_all_shed_does_not_hold_the_search_to_its_deadline(
         self,
     ) -> None:
-        site = Site(shards=2, policies=both()._replace(pressure=AdaptiveInFlight))
+        for pressure in (AdaptiveInFlight, SheddingInFlight):
+            await self._search_while_all_shed(pressure)
+
+    async def _search_while_all_shed(self, pressure: type[SheddingInFlight]) -> None:
+        site = Site(shards=2, policies=both()._replace(pressure=pressure))
         for copy in range(2):
             site.models[f"10.0.0.{copy}:80"].set_condition(UpstreamCondition.SHEDDING)
         loop = asyncio.get_running_loop()
--- a/auburncart/transport/metrics.py
+++ b/auburncart/transport/metrics.py
@@ -25,7 +25,7 @@
         self._subs = Counter("auburncart_sub_queries_total", "Sub-queries sent", **own)
         self._connections = Gauge("auburncart_upstream_connections", "Open connections", **own)
         self._events = Counter("auburncart_events_total", "Other events by name", **own)
-        self._values = Gauge("auburncart_value", "Other values by name", **own)
+        self._values: dict[str, Gauge] = {}
 
     def request_ended(self, rank: Rank, outcome: str, seconds: float) -> None:
         """Count a request and its time."""
@@ -47,7 +47,11 @@
 
     def gauged(self, name: str, value: float) -> None:
         """Set a named value."""
-        self._values.set({"name": name}, value)
+        gauge = self._values.get(name)
+        if gauge is None:
+            gauge = Gauge(f"auburncart_{name}", "Present value", registry=self._registry)
+            self._values[name] = gauge
+        gauge.set({}, value)
 
     def render(self, accept: str = "") -> tuple[bytes, dict[str, str]]:
         """Return the body and headers of a scrape."""
