--- a/auburncart/coordination/gather.py
+++ b/auburncart/coordination/gather.py
@@ -4,6 +4,8 @@
 import itertools
 from collections.abc import Callable
 
+from eliot import log_message
+
 from auburncart.coordination.asks import Ask, Asks, Due
 from auburncart.coordination.fleet import Fleet
 from auburncart.coordination.job import Job, JobResult
@@ -294,6 +296,7 @@
             self._cancel(ask)
             self._submit(ask, target, reason)
         elif not self._isolated(ask) and hedging.allow(self._rank, target):
+            log_message(message_type="sub_query_hedged", shard=ask.name, peer=target.address)
             self._submit(ask, target, "hedge")
         else:
             ask.wait *= 2
@@ -320,6 +323,13 @@
 
     def _failed(self, ask: Ask, failure: Failure) -> None:
         self._failures[ask.name] = failure
+        log_message(
+            message_type="sub_query_failed",
+            shard=ask.name,
+            step=failure.step.value,
+            peer=failure.peer,
+            reason=failure.reason,
+        )
         if ask.jobs:
             return
         if failure.code is FailureCode.LOST and self._testing and self._untested(ask):
--- a/auburncart/coordination/poison.py
+++ b/auburncart/coordination/poison.py
@@ -5,6 +5,8 @@
 from collections import OrderedDict
 from typing import Any
 
+from eliot import log_message
+
 from auburncart.coordination.interfaces import PeerBus
 from auburncart.coordination.quarantine import Quarantine
 from auburncart.coordination.turns import Turns
@@ -159,6 +161,12 @@
     def _condemn(self, digest: str, suspect: _Suspect, now: float) -> None:
         suspect.term = min(LONGEST_TERM_SECONDS, 2 * suspect.term or FIRST_TERM_SECONDS)
         suspect.until = now + suspect.term * self._random.uniform(1.0, 2.0)
+        log_message(
+            message_type="query_refused",
+            query=digest,
+            seconds=round(suspect.until - now, 1),
+            upstreams=sorted(suspect.strikes),
+        )
         if not suspect.answered:
             self._proven.pop(digest, None)
 
--- a/auburncart/coordination/search.py
+++ b/auburncart/coordination/search.py
@@ -1,8 +1,9 @@
 """The service that answers searches, whatever front end they come through."""
 
 import asyncio
+from typing import Any
 
-from eliot import start_action
+from eliot import log_message, start_action
 from expression import Error, Ok, Result
 
 from auburncart.coordination.catalogue import Catalogue
@@ -20,6 +21,7 @@
     Step,
     Work,
     find_row,
+    query_digest,
 )
 
 __all__ = ["SearchService"]
@@ -57,11 +59,15 @@
         row = found.ok
         arrival = asyncio.get_running_loop().time()
         with start_action(
-            action_type="search", request_id=request.request_id, kind=request.kind
+            action_type="search",
+            request_id=request.request_id,
+            customer=request.customer,
+            kind=request.kind,
+            query=query_digest(request.kind, request.query),
         ) as action:
             result = await self._admitted(request, row, arrival)
             outcome = self._outcome(result)
-            action.add_success_fields(outcome=outcome)
+            action.add_success_fields(outcome=outcome, **_logged(result))
         self._observer.request_ended(row.rank, outcome, asyncio.get_running_loop().time() - arrival)
         return result
 
@@ -94,6 +100,8 @@
         admitted = await self._policies.admission.admit(work, row)
         if admitted.is_error():
             return Error(admitted.error)
+        waited = asyncio.get_running_loop().time() - arrival
+        log_message(message_type="admitted", rank=row.rank.name.lower(), seconds=round(waited, 4))
         try:
             return await self._pinned.run(request, row.rank, admitted.ok)
         finally:
@@ -109,6 +117,20 @@
         return "complete" if result.ok.coverage.complete else "partial"
 
 
+def _logged(result: Result[SearchAnswer, Refusal]) -> dict[str, Any]:
+    """Return what the log tells of an answer or a refusal."""
+    if result.is_error():
+        return {"reason": result.error.reason, "step": result.error.step.value}
+    answer = result.ok
+    coverage = answer.coverage
+    return {
+        "snapshot": answer.snapshot,
+        "asked": coverage.asked,
+        "answered": coverage.answered,
+        "missing": [gap.shard for gap in coverage.missing],
+    }
+
+
 def _over_rate(wait: float) -> Refusal:
     return Refusal(
         RefusalCode.OVERLOADED, "over the table's max_rate", retry_after=wait, step=Step.ADMIT
--- a/auburncart/coordination/tests/test_search.py
+++ b/auburncart/coordination/tests/test_search.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+import eliot
+
 from auburncart.state import OrderRequest, Ran, RefusalCode
 from auburncart.tests.site import Site, search_request
 from auburncart.tests.virtual import virtual_time
@@ -64,6 +66,34 @@
         self.assertEqual(sum(model.requests for model in site.models.values()), 0)
 
 
+class LogTest(unittest.TestCase):
+    def test_one_action_follows_a_search_through_queue_failure_and_answer(self) -> None:
+        messages: list[dict] = []
+        eliot.add_destinations(messages.append)
+        try:
+            self._search_with_a_lost_shard()
+        finally:
+            eliot.remove_destination(messages.append)
+        (start,) = [found for found in messages if found.get("action_status") == "started"]
+        own = [found for found in messages if found["task_uuid"] == start["task_uuid"]]
+        kinds = [found.get("message_type") or found["action_status"] for found in own]
+        self.assertEqual(kinds[:2], ["started", "admitted"])
+        self.assertIn("sub_query_failed", kinds)
+        self.assertEqual(kinds[-1], "succeeded")
+        self.assertEqual(own[-1]["missing"], ["shard-01"])
+        failed = own[kinds.index("sub_query_failed")]
+        self.assertEqual((failed["shard"], failed["step"]), ("shard-01", "connect"))
+        self.assertTrue(failed["peer"].startswith("10.0.1."))
+
+    @virtual_time
+    async def _search_with_a_lost_shard(self) -> None:
+        site = Site(shards=3)
+        for copy in range(2):
+            site.models[f"10.0.1.{copy}:80"].kill()
+        await site.searches.search(search_request())
+        await site.close()
+
+
 class OrderTest(unittest.TestCase):
     @virtual_time
     async def test_repeated_key_takes_effect_once(self) -> None:
