--- a/auburncart/coordination/tests/test_search.py
+++ b/auburncart/coordination/tests/test_search.py
@@ -9,7 +9,6 @@
 from auburncart.tests.site import Site, search_request
 from auburncart.tests.virtual import virtual_time
 
-
 LOGGED_ID = "logged-search"
 
 
