Rates hold for orders too: one admission asks the rate first

Cause: only searches asked the customer's rate, by code of their own; orders passed it by.

Change: RatedAdmission stands before the admission of both services; a waiter of the baseline's admission that is cancelled after its turn came hands the place on instead of losing it.

Ruled out: the same check a second time in the order service.

--- a/auburncart/coordination/admission.py
+++ b/auburncart/coordination/admission.py
@@ -67,16 +67,21 @@
             async with asyncio.timeout_at(work.deadline):
                 await turn
         except TimeoutError:
+            self._give_up(turn)
             return Error(
                 Refusal(RefusalCode.OVERLOADED, "no place before the deadline", step=Step.QUEUE)
             )
-        finally:
-            self._forget(turn)
+        except asyncio.CancelledError:
+            self._give_up(turn)
+            raise
         return Ok(_FirstComeTicket(self))
 
-    def _forget(self, turn: asyncio.Future[None]) -> None:
+    def _give_up(self, turn: asyncio.Future[None]) -> None:
+        """Leave the queue, or hand a place on that came too late."""
         if turn in self._waiting:
             self._waiting.remove(turn)
+        elif turn.done() and not turn.cancelled():
+            self._release()
 
     def _release(self) -> None:
         while self._waiting:
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -17,6 +17,7 @@
 from auburncart.coordination.order import OrderService
 from auburncart.coordination.owner import OwnedClaims
 from auburncart.coordination.policies import Policies
+from auburncart.coordination.rated import RatedAdmission
 from auburncart.coordination.search import SearchService
 from auburncart.coordination.shutdown import Drain
 from auburncart.coordination.table import TableKeeper
@@ -56,7 +57,8 @@
         self._data_centre = data_centre
         self._store = store
         self._dialer = dialer
-        self._policies = policies
+        rated = RatedAdmission(policies.admission, policies.rates)
+        self._policies = policies = policies._replace(admission=rated)
         self._observer = observer
         self._catalogue = catalogue or Catalogue()
         self._tables = tables or TableKeeper()
--- /dev/null
+++ b/auburncart/coordination/rated.py
@@ -0,0 +1,39 @@
+"""Admission that asks for the customer's rate first."""
+
+from expression import Error, Result
+
+from auburncart.coordination.admission import Admission, Ticket
+from auburncart.coordination.catalogue import Catalogue
+from auburncart.coordination.rates import Rates
+from auburncart.coordination.table import TableKeeper
+from auburncart.state import Refusal, RefusalCode, Row, Step, Work
+
+__all__ = ["RatedAdmission"]
+
+
+class RatedAdmission(Admission):
+    """Refuses what is over a row's ``max_rate``, and hands on the rest.
+
+    :param admission: decides on what is within the rate.
+    :param rates: counts the requests of each customer.
+    """
+
+    def __init__(self, admission: Admission, rates: Rates) -> None:
+        self._admission = admission
+        self._rates = rates
+
+    def follow(self, tables: TableKeeper, catalogue: Catalogue) -> None:
+        """Decide by the table and the shard map in force."""
+        self._admission.follow(tables, catalogue)
+
+    async def admit(self, work: Work, row: Row) -> Result[Ticket, Refusal]:
+        """Refuse at once if the customer is over its rate, else wait for a place."""
+        wait = self._rates.take(work.customer, row, work.arrival)
+        if wait > 0:
+            return Error(_over_rate(wait))
+        return await self._admission.admit(work, row)
+
+
+def _over_rate(wait: float) -> Refusal:
+    reason = "over the table's max_rate"
+    return Refusal(RefusalCode.OVERLOADED, reason, retry_after=wait, step=Step.ADMIT)
--- a/auburncart/coordination/search.py
+++ b/auburncart/coordination/search.py
@@ -18,7 +18,6 @@
     Row,
     SearchAnswer,
     SearchRequest,
-    Step,
     Work,
     find_row,
     query_digest,
@@ -94,9 +93,6 @@
             arrival,
             cost,
         )
-        wait = self._policies.rates.take(request.customer, row, arrival)
-        if wait > 0:
-            return Error(_over_rate(wait))
         admitted = await self._policies.admission.admit(work, row)
         if admitted.is_error():
             return Error(admitted.error)
@@ -129,9 +125,3 @@
         "answered": coverage.answered,
         "missing": [gap.shard for gap in coverage.missing],
     }
-
-
-def _over_rate(wait: float) -> Refusal:
-    return Refusal(
-        RefusalCode.OVERLOADED, "over the table's max_rate", retry_after=wait, step=Step.ADMIT
-    )
--- a/auburncart/coordination/tests/test_order.py
+++ b/auburncart/coordination/tests/test_order.py
@@ -15,6 +15,7 @@
     make_key,
     place_of,
 )
+from auburncart.coordination.policies import default_policies
 from auburncart.protocol.platform import MAX_VALUE_BYTES, encode_value
 from auburncart.standins.platform import WriteFault
 from auburncart.standins.site import DEMO_TABLE
@@ -25,7 +26,9 @@
     OrderRequest,
     Ran,
     RefusalCode,
+    TableDocument,
     Verdict,
+    find_row,
 )
 from auburncart.tests.site import Site
 from auburncart.tests.virtual import virtual_time
@@ -52,6 +55,25 @@
     return node
 
 
+class RateTest(unittest.TestCase):
+    @virtual_time
+    async def test_orders_over_the_rate_are_refused_unsent(self) -> None:
+        policies = default_policies(vms=1)
+        site = Site(policies=policies)
+        table = DEMO_TABLE.table
+        row = find_row(table, "ladera", "closure")._replace(customer="ladera", max_rate=2.0)
+        site.tables.install(TableDocument(table._replace(version=2, rows=(*table.rows, row))))
+        ran = []
+        for number in range(10):
+            key = make_key(1.0, number)
+            result = await site.orders.order(order_request(number, key=key))
+            ran.append(result.error.ran if result.is_error() else result.ok.ran)
+        await site.close()
+        self.assertEqual(set(ran), {Ran.YES, Ran.NO})
+        self.assertEqual(effects(site), ran.count(Ran.YES))
+        self.assertLessEqual(ran.count(Ran.YES), 2)
+
+
 class FaultTest(unittest.TestCase):
     @virtual_time
     async def test_try_with_the_request_id_of_another_is_not_taken_for_it(self) -> None:
