--- /dev/null
+++ b/auburncart/scenario/tests/flood.py
@@ -0,0 +1,49 @@
+"""Urgent searches beside floods of archive searches, on separate processes over loopback.
+
+Run as ``python -m auburncart.scenario.tests.flood [SECONDS]``. Two entry VMs share 40 upstreams of
+20 shards; the load goes to one of them, each stream from a process of its own: 10 urgent searches a
+second to the urgent port, archive searches to the general port.
+"""
+
+import asyncio
+import os
+import sys
+
+from auburncart.scenario.language import parse
+from auburncart.scenario.tests.real import RealWorld
+
+SITE = "site shards=20 replicas=2 vms=2 data_centres=1 batch=16"
+FLOODS = (0, 50, 200, 400)  # archive searches a second, over two processes
+DEFAULT_SECONDS = "8"
+
+
+async def load(stream: str, seconds: str, seed: int) -> str:
+    """Run the load tool in a process of its own and return what it prints."""
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "auburncart", "bench", "load", stream),
+        *("--seconds", seconds, "--seed", str(seed)),
+        env={**os.environ, "PYTHONPATH": os.getcwd()},
+        stdout=asyncio.subprocess.PIPE,
+    )
+    return (await process.communicate())[0].decode().strip()
+
+
+async def main(seconds: str) -> None:
+    world = RealWorld()
+    try:
+        for command in parse(SITE):
+            await world.act(command)
+        general, urgent = world.ports("vm1")
+        for rate in FLOODS:
+            streams = [f"{urgent},ladera,closure,10,1000"]
+            streams += [f"{general},ladera,archive,{rate / 2},2000"] * (2 if rate else 0)
+            printed = await asyncio.gather(
+                *(load(stream, seconds, seed) for seed, stream in enumerate(streams, start=1))
+            )
+            sys.stdout.write(f"archive {rate} a second\n" + "\n".join(printed) + "\n")
+    finally:
+        await world.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(sys.argv[1] if len(sys.argv) > 1 else DEFAULT_SECONDS))
--- a/auburncart/scenario/tests/real.py
+++ b/auburncart/scenario/tests/real.py
@@ -46,6 +46,7 @@
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._arguments: dict[str, list[str]] = {}
         self._addresses: dict[str, str] = {}
+        self._urgent: dict[str, str] = {}
         self._http = urllib3.PoolManager(retries=False, maxsize=32)
         self._actions: dict[str, Callable[[Command], Awaitable[None]]] = {
             "site": self._site,
@@ -63,6 +64,10 @@
     def time(self) -> float:
         return asyncio.get_running_loop().time() - self._began
 
+    def ports(self, vm: str) -> tuple[str, str]:
+        """Return the general and the urgent address of a VM."""
+        return self._addresses[vm], self._urgent[vm]
+
     async def act(self, command: Command) -> None:
         await self._actions[command.verb](command)
 
@@ -176,7 +181,7 @@
             "name": name,
             "data_centre": data_centre,
             "general_address": self._addresses[name],
-            "urgent_address": _free_address(),
+            "urgent_address": self._urgent.setdefault(name, _free_address()),
             "platform_address": self._addresses["platform"],
             "connecting_vms": vms,
             "balancer_lag_seconds": self._lag,
