One check for a connection that has ended; a losing choice and a doubled body go

Cause: the last read of the change found HttpConnection._ended beside HttpConnection.connected, which asks the same of the same socket; TwoRandomChoice, which lost its measurement and which nothing uses or tests; and the fields common to searches and orders written twice in the processes' world.

Ruled out: dropping the check in request() since the store looks before it takes a kept connection: upstreams' connections are checked only there.

--- a/auburncart/coordination/loaded.py
+++ b/auburncart/coordination/loaded.py
@@ -9,7 +9,7 @@
 from auburncart.coordination.upstream import Upstream
 from auburncart.state import UpstreamCondition
 
-__all__ = ["LeastLoadedChoice", "LeastOutstandingChoice", "TwoRandomChoice"]
+__all__ = ["LeastLoadedChoice", "LeastOutstandingChoice"]
 
 UNANSWERING_FAILURES = 3  # failures in a row after which an upstream is not expected to answer
 FORGET_SECONDS = 5.0  # time constant by which an old latency loses its meaning
@@ -85,14 +85,6 @@
     return failures >= UNANSWERING_FAILURES, not upstream.local, failures > 0
 
 
-class TwoRandomChoice(LeastOutstandingChoice):
-    """Draws two candidates and takes the one with less work outstanding."""
-
-    def _of_class(self, candidates: list[Upstream], now: float) -> Upstream:
-        drawn = self._random.sample(candidates, min(2, len(candidates)))
-        return super()._of_class(drawn, now)
-
-
 class LeastLoadedChoice(LeastOutstandingChoice):
     """Takes the local candidate on which one more sub-query is expected to end first.
 
--- a/auburncart/scenario/tests/real.py
+++ b/auburncart/scenario/tests/real.py
@@ -73,12 +73,7 @@
 
     async def search(self, command: Command) -> Outcome:
         options = command.options
-        body = {
-            "customer": options.get("customer", "ladera"),
-            "kind": options.get("kind", "closure"),
-            "query": options.get("query", "net"),
-            "deadline_ms": int(float(options.get("seconds", "5")) * 1000),
-        }
+        body = {**_common(options), "query": options.get("query", "net")}
         status, fields = await self._post(command.words[0], "/v1/search", body)
         if status >= REFUSED:
             return Outcome("refused", ran=fields["ran"], code=fields["error"])
@@ -95,13 +90,11 @@
     async def order(self, command: Command) -> Outcome:
         options = command.options
         body = {
-            "customer": options.get("customer", "ladera"),
-            "kind": options.get("kind", "closure"),
+            **_common(options),
             "shard": options.get("shard", "shard-00"),
             "key": key_of(options["key"], self._epoch),
             "repeat": options.get("repeat") == "yes",
             "order": options.get("text", "mend the net"),
-            "deadline_ms": int(float(options.get("seconds", "5")) * 1000),
         }
         status, fields = await self._post(command.words[0], "/v1/order", body)
         if status >= REFUSED:
@@ -280,6 +273,15 @@
         await self._control("platform", "fail_write", f"lost_{command.words[0]}")
 
 
+def _common(options: dict[str, str]) -> dict[str, Any]:
+    """Return the fields that searches and orders have in common."""
+    return {
+        "customer": options.get("customer", "ladera"),
+        "kind": options.get("kind", "closure"),
+        "deadline_ms": int(float(options.get("seconds", "5")) * 1000),
+    }
+
+
 def _free_address() -> str:
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
--- a/auburncart/transport/http.py
+++ b/auburncart/transport/http.py
@@ -9,7 +9,6 @@
 
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
-from urllib3.util import wait_for_read
 
 from auburncart.exception import LinkError, LinkTimeoutError
 from auburncart.transport.worker import Worker
@@ -74,7 +73,7 @@
         """
         if self._closed:
             raise LinkError("the connection is closed", step="connect", peer=self._address)
-        if self._ended():
+        if not self.connected:
             self.close()
             raise LinkError("closed by the other side", step="connect", peer=self._address)
         try:
@@ -90,11 +89,6 @@
             self.close()
             raise
 
-    def _ended(self) -> bool:
-        """Return whether the other side closed the connection, or sent what nobody asked for."""
-        sock = self._http.sock
-        return sock is None or wait_for_read(sock, timeout=0.0)
-
     def connect_here(self) -> None:
         """Open the connection on the calling thread, which blocks."""
         self._http.connect()
