--- a/auburncart/bench/claims.py
+++ b/auburncart/bench/claims.py
@@ -12,8 +12,10 @@
 
 import async_solipsism
 
-from auburncart.coordination import ClaimHolder, Claims, SilentObserver, StoredClaims
+from auburncart.coordination.claims import Claims, StoredClaims
+from auburncart.coordination.holder import ClaimHolder
 from auburncart.coordination.idempotency import make_key
+from auburncart.coordination.observer import SilentObserver
 from auburncart.coordination.owner import OwnedClaims
 from auburncart.exception import StoreUnavailableError
 from auburncart.standins.fakes import FakeBus, FakeMembership, FakeNetwork, FakeStore
--- a/auburncart/bench/control.py
+++ b/auburncart/bench/control.py
@@ -9,7 +9,11 @@
 
 from auburncart.bench.echo import EchoDialer
 from auburncart.bench.fit import Point, Slope, fit
-from auburncart.coordination import SHARD_MAP, TABLE, Node, SilentObserver, default_policies
+from auburncart.coordination.catalogue import SHARD_MAP
+from auburncart.coordination.node import Node
+from auburncart.coordination.observer import SilentObserver
+from auburncart.coordination.policies import default_policies
+from auburncart.coordination.table import TABLE
 from auburncart.protocol.platform import decode_value, encode_value
 from auburncart.standins.fakes import FakeStore
 from auburncart.standins.platform import PlatformModel
--- a/auburncart/bench/echo.py
+++ b/auburncart/bench/echo.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any
 
-from auburncart.coordination import UpstreamConnection, UpstreamDialer
+from auburncart.coordination.interfaces import UpstreamConnection, UpstreamDialer
 from auburncart.exception import UpstreamError
 from auburncart.state import Batch, BatchReply, OrderReply, Replica, ShardAnswer, UpstreamOrder
 
--- a/auburncart/bench/loopback.py
+++ b/auburncart/bench/loopback.py
@@ -12,10 +12,11 @@
 
 from auburncart.bench.control import make_map, make_table
 from auburncart.bench.fit import Point, Slope, fit
-from auburncart.coordination import SHARD_MAP, TABLE
-from auburncart.daemon import Entry
+from auburncart.coordination.catalogue import SHARD_MAP
+from auburncart.coordination.table import TABLE
+from auburncart.daemon.entry import Entry
 from auburncart.protocol.platform import encode_value
-from auburncart.settings import EntrySettings
+from auburncart.settings.entry import EntrySettings
 from auburncart.state import Batch, Replica, SubQuery
 from auburncart.transport.store import HttpStore
 from auburncart.transport.upstream import HttpUpstreamDialer
--- a/auburncart/bench/measure.py
+++ b/auburncart/bench/measure.py
@@ -6,7 +6,7 @@
 from hdrh.histogram import HdrHistogram
 
 from auburncart.bench.tier import Tier
-from auburncart.coordination import Observer
+from auburncart.coordination.observer import Observer
 from auburncart.state import Rank, SearchAnswer
 
 __all__ = [
--- a/auburncart/bench/peers.py
+++ b/auburncart/bench/peers.py
@@ -11,7 +11,8 @@
 from auburncart.bench.control import make_map, make_table
 from auburncart.bench.fit import Point, Slope, fit
 from auburncart.bench.run import loop_factory
-from auburncart.coordination import SHARD_MAP, TABLE
+from auburncart.coordination.catalogue import SHARD_MAP
+from auburncart.coordination.table import TABLE
 from auburncart.protocol.platform import encode_value, object_path
 from auburncart.standins.fleet import MemoryNetwork, Vm, make_fleet
 from auburncart.standins.platform import PlatformModel
--- a/auburncart/bench/spread.py
+++ b/auburncart/bench/spread.py
@@ -16,7 +16,8 @@
 
 import async_solipsism
 
-from auburncart.coordination import SHARD_MAP, Author, Proposal, TableEditor
+from auburncart.coordination.catalogue import SHARD_MAP
+from auburncart.coordination.change import Author, Proposal, TableEditor
 from auburncart.standins.fakes import FakeStore
 from auburncart.standins.fleet import MemoryNetwork, Vm, make_fleet
 from auburncart.standins.platform import PlatformModel
--- a/auburncart/bench/tier.py
+++ b/auburncart/bench/tier.py
@@ -5,13 +5,9 @@
 from typing import NamedTuple
 
 from auburncart.bench.site import Group, SiteFile
-from auburncart.coordination import (
-    Node,
-    Observer,
-    Policies,
-    baseline_policies,
-    default_policies,
-)
+from auburncart.coordination.node import Node
+from auburncart.coordination.observer import Observer
+from auburncart.coordination.policies import Policies, baseline_policies, default_policies
 from auburncart.coordination.seats import SeatShares
 from auburncart.exception import InputError
 from auburncart.standins.fakes import (
--- a/auburncart/command/check.py
+++ b/auburncart/command/check.py
@@ -5,7 +5,7 @@
 import pyjson5
 
 from auburncart.protocol.table_file import read_table
-from auburncart.settings import load_entry_settings
+from auburncart.settings.entry import load_entry_settings
 
 __all__ = ["check"]
 
--- a/auburncart/command/demo.py
+++ b/auburncart/command/demo.py
@@ -6,9 +6,9 @@
 from contextlib import asynccontextmanager
 
 from auburncart.command.request import post
-from auburncart.daemon import Entry
+from auburncart.daemon.entry import Entry
 from auburncart.exception import AuburncartError
-from auburncart.settings import EntrySettings
+from auburncart.settings.entry import EntrySettings
 from auburncart.standins.platform import PlatformModel
 from auburncart.standins.server import PlatformApplication, StandinServer, UpstreamApplication
 from auburncart.standins.site import DEMO_TABLE, demo_hits, make_shard_map, publish
--- a/auburncart/command/entry.py
+++ b/auburncart/command/entry.py
@@ -3,8 +3,8 @@
 import asyncio
 from pathlib import Path
 
-from auburncart.daemon import run_entry
-from auburncart.settings import load_entry_settings
+from auburncart.daemon.entry import run_entry
+from auburncart.settings.entry import load_entry_settings
 
 __all__ = ["entry"]
 
--- a/auburncart/command/table.py
+++ b/auburncart/command/table.py
@@ -14,9 +14,12 @@
 import msgspec
 from cyclopts import App, Parameter
 
-from auburncart.coordination import SHARD_MAP, TABLE, Author, Proposal, Store, TableEditor
 from auburncart.coordination.audit import describe, read_history
+from auburncart.coordination.catalogue import SHARD_MAP
+from auburncart.coordination.change import Author, Proposal, TableEditor
+from auburncart.coordination.interfaces import Store
 from auburncart.coordination.status import status_key
+from auburncart.coordination.table import TABLE
 from auburncart.daemon.entry import start_log
 from auburncart.exception import InputError, TableConflictError
 from auburncart.protocol.table_file import (
--- a/auburncart/coordination/tests/test_batching.py
+++ b/auburncart/coordination/tests/test_batching.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from auburncart.coordination import default_policies
+from auburncart.coordination.policies import default_policies
 from auburncart.coordination.ranked_batching import RankedBatching
 from auburncart.state import Rank, Replica, Shard, ShardMap
 from auburncart.tests.site import Site, search_request
--- a/auburncart/coordination/tests/test_change.py
+++ b/auburncart/coordination/tests/test_change.py
@@ -1,8 +1,9 @@
 import asyncio
 import unittest
 
-from auburncart.coordination import TABLE, Author, Proposal, TableEditor
 from auburncart.coordination.audit import read_history
+from auburncart.coordination.change import Author, Proposal, TableEditor
+from auburncart.coordination.table import TABLE
 from auburncart.exception import StoreUnavailableError, TableConflictError
 from auburncart.protocol.platform import MAX_VALUE_BYTES
 from auburncart.standins.fakes import FakeStore
--- a/auburncart/coordination/tests/test_choice.py
+++ b/auburncart/coordination/tests/test_choice.py
@@ -3,8 +3,8 @@
 import unittest
 from typing import NamedTuple
 
-from auburncart.coordination import default_policies
 from auburncart.coordination.loaded import LeastLoadedChoice
+from auburncart.coordination.policies import default_policies
 from auburncart.state import Replica, UpstreamCondition
 from auburncart.tests.site import Site, search_request
 from auburncart.tests.virtual import virtual_time
--- a/auburncart/coordination/tests/test_drain.py
+++ b/auburncart/coordination/tests/test_drain.py
@@ -4,9 +4,9 @@
 import random
 import unittest
 
-from auburncart.coordination import default_policies
 from auburncart.coordination.drain import UPSTREAM_STATUS, SignedDraining
 from auburncart.coordination.idempotency import make_key
+from auburncart.coordination.policies import default_policies
 from auburncart.coordination.tests.trial import baseline, retried
 from auburncart.protocol.platform import encode_value, object_path
 from auburncart.state import OrderRequest, UpstreamCondition, UpstreamStatus
--- a/auburncart/coordination/tests/test_group.py
+++ b/auburncart/coordination/tests/test_group.py
@@ -1,7 +1,8 @@
 import asyncio
 import unittest
 
-from auburncart.coordination import SHARD_MAP, Author, Proposal, TableEditor
+from auburncart.coordination.catalogue import SHARD_MAP
+from auburncart.coordination.change import Author, Proposal, TableEditor
 from auburncart.coordination.overlay import ring_neighbours
 from auburncart.standins.fakes import FakeStore
 from auburncart.standins.fleet import MemoryNetwork, Vm, make_fleet
--- a/auburncart/coordination/tests/test_order.py
+++ b/auburncart/coordination/tests/test_order.py
@@ -5,9 +5,8 @@
 import unittest
 from collections.abc import Callable
 
-from auburncart.coordination import ClaimHolder, Key, Node, SilentObserver, baseline_policies
 from auburncart.coordination.bucket import MOST_CLAIMS, apply_change
-from auburncart.coordination.holder import kept_outcome
+from auburncart.coordination.holder import ClaimHolder, kept_outcome
 from auburncart.coordination.idempotency import (
     MEMORY_SECONDS,
     PERIOD_SECONDS,
@@ -15,7 +14,10 @@
     make_key,
     place_of,
 )
-from auburncart.coordination.policies import default_policies
+from auburncart.coordination.interfaces import Key
+from auburncart.coordination.node import Node
+from auburncart.coordination.observer import SilentObserver
+from auburncart.coordination.policies import baseline_policies, default_policies
 from auburncart.protocol.platform import MAX_VALUE_BYTES, encode_value
 from auburncart.standins.platform import WriteFault
 from auburncart.standins.site import DEMO_TABLE
--- a/auburncart/coordination/tests/test_order_steps.py
+++ b/auburncart/coordination/tests/test_order_steps.py
@@ -6,20 +6,17 @@
 import unittest
 from typing import NamedTuple
 
-from auburncart.coordination import (
-    Catalogue,
-    ClaimHolder,
-    Claims,
-    Fleet,
-    OrderService,
-    SilentObserver,
-    StoredClaims,
-    TableKeeper,
-    Upstream,
-    baseline_policies,
-)
+from auburncart.coordination.catalogue import Catalogue
+from auburncart.coordination.claims import Claims, StoredClaims
+from auburncart.coordination.fleet import Fleet
+from auburncart.coordination.holder import ClaimHolder
 from auburncart.coordination.idempotency import place_of
+from auburncart.coordination.observer import SilentObserver
+from auburncart.coordination.order import OrderService
 from auburncart.coordination.owner import OwnedClaims, owner_of
+from auburncart.coordination.policies import baseline_policies
+from auburncart.coordination.table import TableKeeper
+from auburncart.coordination.upstream import Upstream
 from auburncart.standins.fakes import FakeDialer, FakeMembership, FakeNetwork, FakeStore
 from auburncart.standins.platform import PlatformModel
 from auburncart.standins.site import DEMO_TABLE, make_shard_map
--- a/auburncart/coordination/tests/test_outage.py
+++ b/auburncart/coordination/tests/test_outage.py
@@ -3,8 +3,12 @@
 import asyncio
 import unittest
 
-from auburncart.coordination import SHARD_MAP, TABLE, Node, SilentObserver, Stored
+from auburncart.coordination.catalogue import SHARD_MAP
 from auburncart.coordination.idempotency import make_key
+from auburncart.coordination.interfaces import Stored
+from auburncart.coordination.node import Node
+from auburncart.coordination.observer import SilentObserver
+from auburncart.coordination.table import TABLE
 from auburncart.protocol.platform import encode_value, object_path
 from auburncart.standins.fakes import FakeStore
 from auburncart.standins.platform import PlatformModel
--- a/auburncart/coordination/tests/test_owner.py
+++ b/auburncart/coordination/tests/test_owner.py
@@ -4,9 +4,11 @@
 import unittest
 from typing import Any
 
-from auburncart.coordination import Node, SilentObserver, baseline_policies
 from auburncart.coordination.idempotency import make_key, place_of
+from auburncart.coordination.node import Node
+from auburncart.coordination.observer import SilentObserver
 from auburncart.coordination.owner import RELAY_SECONDS, owner_of
+from auburncart.coordination.policies import baseline_policies
 from auburncart.exception import LinkError
 from auburncart.protocol.peer import decode_message, encode_message
 from auburncart.standins.fakes import FakeBus, FakeMembership, FakeNetwork, FakeStore
--- a/auburncart/coordination/tests/test_poison.py
+++ b/auburncart/coordination/tests/test_poison.py
@@ -3,9 +3,11 @@
 import asyncio
 import unittest
 
-from auburncart.coordination import Node, SilentObserver, baseline_policies
 from auburncart.coordination.batching import UpToLimit
+from auburncart.coordination.node import Node
+from auburncart.coordination.observer import SilentObserver
 from auburncart.coordination.poison import StrikeQuarantine
+from auburncart.coordination.policies import baseline_policies
 from auburncart.coordination.retry import BudgetedRetrying
 from auburncart.standins.fakes import FakeBus, FakeNetwork
 from auburncart.standins.site import DEMO_TABLE
--- a/auburncart/coordination/tests/test_retry.py
+++ b/auburncart/coordination/tests/test_retry.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from auburncart.coordination import baseline_policies
+from auburncart.coordination.policies import baseline_policies
 from auburncart.coordination.redial import BackoffRedialing
 from auburncart.coordination.retry import BudgetedRetrying, Prospect, RetryThrice
 from auburncart.state import Failure, FailureCode, Step, UpstreamCondition
--- a/auburncart/coordination/tests/test_seating.py
+++ b/auburncart/coordination/tests/test_seating.py
@@ -2,7 +2,7 @@
 import random
 import unittest
 
-from auburncart.coordination import SHARD_MAP
+from auburncart.coordination.catalogue import SHARD_MAP
 from auburncart.coordination.seats import SeatShares
 from auburncart.standins.fakes import FakeStore
 from auburncart.standins.fleet import MemoryNetwork, Vm
--- a/auburncart/coordination/tests/test_shared_rates.py
+++ b/auburncart/coordination/tests/test_shared_rates.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from auburncart.coordination import baseline_policies
+from auburncart.coordination.policies import baseline_policies
 from auburncart.coordination.rates import Rates
 from auburncart.coordination.shared_rates import GRANT_SECONDS, SharedRates
 from auburncart.standins.fakes import FakeBus, FakeMembership, FakeNetwork
--- a/auburncart/coordination/tests/test_shutdown.py
+++ b/auburncart/coordination/tests/test_shutdown.py
@@ -4,7 +4,8 @@
 import itertools
 import unittest
 
-from auburncart.coordination import Node, SilentObserver
+from auburncart.coordination.node import Node
+from auburncart.coordination.observer import SilentObserver
 from auburncart.coordination.shutdown import Drain, FrontEnd, Shutdown, ShutdownTimes
 from auburncart.standins.site import DEMO_TABLE
 from auburncart.tests.site import Site, search_request
--- a/auburncart/coordination/tests/test_together.py
+++ b/auburncart/coordination/tests/test_together.py
@@ -4,8 +4,9 @@
 import itertools
 import unittest
 
-from auburncart.coordination import Node, SilentObserver
 from auburncart.coordination.idempotency import make_key
+from auburncart.coordination.node import Node
+from auburncart.coordination.observer import SilentObserver
 from auburncart.coordination.shutdown import Shutdown, ShutdownTimes
 from auburncart.coordination.tests.test_outage import new_table, published, replace_table
 from auburncart.coordination.tests.test_shutdown import Port
--- a/auburncart/coordination/tests/test_upstream.py
+++ b/auburncart/coordination/tests/test_upstream.py
@@ -3,12 +3,13 @@
 import asyncio
 import unittest
 
-from auburncart.coordination import SilentObserver, Upstream
 from auburncart.coordination.batching import Batching, OnePerRequest, UpToLimit
 from auburncart.coordination.job import Job, JobResult
 from auburncart.coordination.limits import ConnectionLimit
 from auburncart.coordination.mailbox import Mailbox
+from auburncart.coordination.observer import SilentObserver
 from auburncart.coordination.quarantine import NoQuarantine
+from auburncart.coordination.upstream import Upstream
 from auburncart.standins.fakes import FakeDialer
 from auburncart.standins.upstream import UpstreamCrashError, UpstreamModel, UpstreamShape
 from auburncart.state import FailureCode, Rank, Replica, SubQuery, UpstreamOrder
--- a/auburncart/coordination/tests/trial.py
+++ b/auburncart/coordination/tests/trial.py
@@ -12,10 +12,10 @@
 
 import async_solipsism
 
-from auburncart.coordination import Policies, baseline_policies
 from auburncart.coordination.drain import SignedDraining
 from auburncart.coordination.hedge import AdaptiveHedging
 from auburncart.coordination.poison import StrikeQuarantine
+from auburncart.coordination.policies import Policies, baseline_policies
 from auburncart.coordination.pressure import AdaptiveInFlight
 from auburncart.coordination.redial import BackoffRedialing
 from auburncart.coordination.retry import BudgetedRetrying
--- a/auburncart/daemon/entry.py
+++ b/auburncart/daemon/entry.py
@@ -9,12 +9,12 @@
 import eliot
 from eliot import log_message
 
-from auburncart.coordination import Node
 from auburncart.coordination.gate import EveryRankGate, OneRankGate, RankGate
+from auburncart.coordination.node import Node
 from auburncart.coordination.policies import Policies, default_policies
 from auburncart.coordination.shutdown import Shutdown, ShutdownTimes
 from auburncart.daemon.peering import Peering
-from auburncart.settings import EntrySettings
+from auburncart.settings.entry import EntrySettings
 from auburncart.state import Rank
 from auburncart.transport.loop import LoopBridge
 from auburncart.transport.metrics import MetricsObserver
--- a/auburncart/daemon/peering.py
+++ b/auburncart/daemon/peering.py
@@ -3,13 +3,17 @@
 import time
 import zlib
 
-from auburncart.coordination import Catalogue, Node, Observer, Store, TableKeeper
+from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.group import Group
 from auburncart.coordination.handshake import KeyRing
+from auburncart.coordination.interfaces import Store
+from auburncart.coordination.node import Node
+from auburncart.coordination.observer import Observer
 from auburncart.coordination.policies import Policies
 from auburncart.coordination.seats import SeatShares
 from auburncart.coordination.shared_rates import SharedRates
-from auburncart.settings import EntrySettings
+from auburncart.coordination.table import TableKeeper
+from auburncart.settings.entry import EntrySettings
 from auburncart.state import Member, Seat
 from auburncart.transport.peer import WebSocketDialer, WebSocketListener
 
--- a/auburncart/protocol/tests/test_fuzz.py
+++ b/auburncart/protocol/tests/test_fuzz.py
@@ -8,11 +8,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from auburncart.coordination import SHARD_MAP, TABLE, Key
+from auburncart.coordination.catalogue import SHARD_MAP
+from auburncart.coordination.interfaces import Key
+from auburncart.coordination.table import TABLE
 from auburncart.exception import InputError, ProtocolError, SettingsError
 from auburncart.protocol import caller, platform, upstream
 from auburncart.protocol.document import parse_document
-from auburncart.settings import EntrySettings
+from auburncart.settings.entry import EntrySettings
 from auburncart.state import Batch, ClaimBucket, SubQuery, UpstreamOrder
 
 SUB = SubQuery("r1.1", "a", "s1", "k", "q", 1.0)
--- a/auburncart/scenario/pause.py
+++ b/auburncart/scenario/pause.py
@@ -4,7 +4,13 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from auburncart.coordination import Key, Store, Stored, UpstreamConnection, UpstreamDialer
+from auburncart.coordination.interfaces import (
+    Key,
+    Store,
+    Stored,
+    UpstreamConnection,
+    UpstreamDialer,
+)
 from auburncart.state import Batch, BatchReply, Member, OrderReply, Replica, UpstreamOrder
 
 __all__ = ["Freezer", "FrozenDialer", "FrozenStore"]
--- a/auburncart/scenario/virtual.py
+++ b/auburncart/scenario/virtual.py
@@ -3,8 +3,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from auburncart.coordination import SHARD_MAP, TABLE, Node, Policies, SilentObserver
-from auburncart.coordination.policies import baseline_policies, default_policies
+from auburncart.coordination.catalogue import SHARD_MAP
+from auburncart.coordination.node import Node
+from auburncart.coordination.observer import SilentObserver
+from auburncart.coordination.policies import Policies, baseline_policies, default_policies
+from auburncart.coordination.table import TABLE
 from auburncart.exception import AuburncartError
 from auburncart.protocol.platform import encode_value, object_path
 from auburncart.scenario.language import Command
--- a/auburncart/settings/tests/test_entry.py
+++ b/auburncart/settings/tests/test_entry.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from auburncart.exception import SettingsError
-from auburncart.settings import EntrySettings, load_entry_settings
+from auburncart.settings.entry import EntrySettings, load_entry_settings
 
 FIELDS = {
     "name": "vm1",
--- a/auburncart/standins/fakes.py
+++ b/auburncart/standins/fakes.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from auburncart.coordination import (
+from auburncart.coordination.interfaces import (
     Key,
     Membership,
     PeerBus,
--- a/auburncart/standins/fleet.py
+++ b/auburncart/standins/fleet.py
@@ -4,9 +4,12 @@
 import random
 from collections.abc import Awaitable, Callable
 
-from auburncart.coordination import Catalogue, PeerDialer, PeerLink, SilentObserver, TableKeeper
+from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.group import Group
 from auburncart.coordination.handshake import KeyRing
+from auburncart.coordination.interfaces import PeerDialer, PeerLink
+from auburncart.coordination.observer import SilentObserver
+from auburncart.coordination.table import TableKeeper
 from auburncart.exception import LinkError
 from auburncart.protocol.peer import decode_message, encode_message
 from auburncart.standins.fakes import FakeStore
--- a/auburncart/standins/site.py
+++ b/auburncart/standins/site.py
@@ -2,7 +2,8 @@
 
 from typing import Any
 
-from auburncart.coordination import SHARD_MAP, TABLE
+from auburncart.coordination.catalogue import SHARD_MAP
+from auburncart.coordination.table import TABLE
 from auburncart.protocol.platform import encode_value, object_path
 from auburncart.standins.platform import PlatformModel
 from auburncart.standins.upstream import UpstreamShape
--- a/auburncart/tests/site.py
+++ b/auburncart/tests/site.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
-from auburncart.coordination import Node, Policies, SilentObserver, baseline_policies
+from auburncart.coordination.node import Node
+from auburncart.coordination.observer import SilentObserver
+from auburncart.coordination.policies import Policies, baseline_policies
 from auburncart.standins.fakes import FakeDialer, FakeStore
 from auburncart.standins.platform import PlatformModel
 from auburncart.standins.site import DEMO_TABLE, demo_hits, make_shard_map
--- a/auburncart/tests/steps.py
+++ b/auburncart/tests/steps.py
@@ -6,7 +6,13 @@
 from enum import Enum
 from typing import Any, TypeVar
 
-from auburncart.coordination import Key, Store, Stored, UpstreamConnection, UpstreamDialer
+from auburncart.coordination.interfaces import (
+    Key,
+    Store,
+    Stored,
+    UpstreamConnection,
+    UpstreamDialer,
+)
 from auburncart.exception import LinkError, StoreUnavailableError, UpstreamError
 from auburncart.standins.fakes import FakeBus, FakeNetwork
 from auburncart.state import Batch, BatchReply, Member, OrderReply, Replica, UpstreamOrder
--- a/auburncart/transport/metrics.py
+++ b/auburncart/transport/metrics.py
@@ -4,7 +4,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-from auburncart.coordination import Observer
+from auburncart.coordination.observer import Observer
 from auburncart.state import Rank
 
 __all__ = ["MetricsObserver"]
--- a/auburncart/transport/peer.py
+++ b/auburncart/transport/peer.py
@@ -10,7 +10,7 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
-from auburncart.coordination import PeerDialer, PeerLink
+from auburncart.coordination.interfaces import PeerDialer, PeerLink
 from auburncart.exception import LinkError, ProtocolError
 from auburncart.protocol import peer as protocol
 from auburncart.state import LinkMessage
--- a/auburncart/transport/store.py
+++ b/auburncart/transport/store.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any, TypeVar
 
-from auburncart.coordination import Key, Store, Stored
+from auburncart.coordination.interfaces import Key, Store, Stored
 from auburncart.exception import (
     LinkError,
     ProtocolError,
--- a/auburncart/transport/tests/test_peer.py
+++ b/auburncart/transport/tests/test_peer.py
@@ -7,8 +7,8 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed
 
-from auburncart.coordination import SilentObserver
 from auburncart.coordination.handshake import KeyRing
+from auburncart.coordination.observer import SilentObserver
 from auburncart.coordination.peers import Peers
 from auburncart.exception import LinkError, ProtocolError
 from auburncart.protocol.peer import MAX_GREETING_BYTES, decode_message, encode_message
--- a/auburncart/transport/tests/test_store.py
+++ b/auburncart/transport/tests/test_store.py
@@ -5,7 +5,7 @@
 import itertools
 import unittest
 
-from auburncart.coordination import TABLE
+from auburncart.coordination.table import TABLE
 from auburncart.exception import StoreUnavailableError
 from auburncart.standins.site import DEMO_TABLE
 from auburncart.transport.store import HttpStore
--- a/auburncart/transport/tests/test_web.py
+++ b/auburncart/transport/tests/test_web.py
@@ -11,9 +11,9 @@
 import urllib3
 from expression import Ok
 
-from auburncart.coordination import TableKeeper
 from auburncart.coordination.gate import EveryRankGate, OneRankGate, RankGate
 from auburncart.coordination.shutdown import Drain
+from auburncart.coordination.table import TableKeeper
 from auburncart.standins.site import DEMO_TABLE
 from auburncart.state import Coverage, OrderAnswer, Ran, Rank, SearchAnswer
 from auburncart.transport.loop import LoopBridge
--- a/auburncart/transport/upstream.py
+++ b/auburncart/transport/upstream.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from auburncart.coordination import UpstreamConnection, UpstreamDialer
+from auburncart.coordination.interfaces import UpstreamConnection, UpstreamDialer
 from auburncart.exception import (
     LinkError,
     LinkTimeoutError,
--- a/auburncart/transport/web.py
+++ b/auburncart/transport/web.py
@@ -9,8 +9,9 @@
 import cherrypy
 from expression import Error, Result
 
-from auburncart.coordination import OrderService, SearchService
 from auburncart.coordination.gate import RankGate
+from auburncart.coordination.order import OrderService
+from auburncart.coordination.search import SearchService
 from auburncart.coordination.shutdown import Drain, FrontEnd
 from auburncart.exception import BodySizeError, InputError
 from auburncart.protocol import caller as protocol
--- a/examples/own_front_end.py
+++ b/examples/own_front_end.py
@@ -8,7 +8,9 @@
 
 import async_solipsism
 
-from auburncart.coordination import Node, SilentObserver, baseline_policies
+from auburncart.coordination.node import Node
+from auburncart.coordination.observer import SilentObserver
+from auburncart.coordination.policies import baseline_policies
 from auburncart.standins.fakes import FakeDialer, FakeStore
 from auburncart.standins.platform import PlatformModel
 from auburncart.standins.site import DEMO_TABLE, demo_hits, make_shard_map, publish
