--- a/auburncart/bench/cases.py
+++ b/auburncart/bench/cases.py
@@ -8,7 +8,8 @@
 from auburncart.bench.tier import Tier
 from auburncart.exception import InputError
 from auburncart.standins.upstream import UpstreamModel
-from auburncart.state import Rank, UpstreamCondition
+from auburncart.state.upstream import UpstreamCondition
+from auburncart.state.work import Rank
 
 __all__ = ["CASES", "POISON", "Case", "Flood", "find_case"]
 
--- a/auburncart/bench/claims.py
+++ b/auburncart/bench/claims.py
@@ -20,7 +20,8 @@
 from auburncart.exception import StoreUnavailableError
 from auburncart.standins.fakes import FakeBus, FakeMembership, FakeNetwork, FakeStore
 from auburncart.standins.platform import PlatformModel
-from auburncart.state import Claim, ClaimState, Member, OrderRequest, Verdict
+from auburncart.state.member import Member
+from auburncart.state.order import Claim, ClaimState, OrderRequest, Verdict
 
 __all__ = ["measure"]
 
--- a/auburncart/bench/concurrency.py
+++ b/auburncart/bench/concurrency.py
@@ -12,7 +12,8 @@
 from typing import NamedTuple
 
 from auburncart.protocol import upstream as protocol
-from auburncart.state import Batch, SubQuery
+from auburncart.state.search import SubQuery
+from auburncart.state.upstream import Batch
 from auburncart.transport.http import HttpConnection
 
 __all__ = ["ConcurrencyCost", "measure_loop", "measure_threads"]
--- a/auburncart/bench/control.py
+++ b/auburncart/bench/control.py
@@ -17,17 +17,10 @@
 from auburncart.protocol.platform import decode_value, encode_value
 from auburncart.standins.fakes import FakeStore
 from auburncart.standins.platform import PlatformModel
-from auburncart.state import (
-    Rank,
-    Replica,
-    Row,
-    SearchRequest,
-    Shard,
-    ShardMap,
-    Table,
-    TableDocument,
-    find_row,
-)
+from auburncart.state.search import SearchRequest
+from auburncart.state.shards import Replica, Shard, ShardMap
+from auburncart.state.table import Row, Table, TableDocument, find_row
+from auburncart.state.work import Rank
 
 __all__ = ["SHARD_SIZES", "decision_slopes", "make_map", "make_table", "object_slopes"]
 
--- a/auburncart/bench/echo.py
+++ b/auburncart/bench/echo.py
@@ -5,7 +5,9 @@
 
 from auburncart.coordination.interfaces import UpstreamConnection, UpstreamDialer
 from auburncart.exception import UpstreamError
-from auburncart.state import Batch, BatchReply, OrderReply, Replica, ShardAnswer, UpstreamOrder
+from auburncart.state.search import ShardAnswer
+from auburncart.state.shards import Replica
+from auburncart.state.upstream import Batch, BatchReply, OrderReply, UpstreamOrder
 
 __all__ = ["EchoConnection", "EchoDialer"]
 
--- a/auburncart/bench/loopback.py
+++ b/auburncart/bench/loopback.py
@@ -17,7 +17,9 @@
 from auburncart.daemon.entry import Entry
 from auburncart.protocol.platform import encode_value
 from auburncart.settings.entry import EntrySettings
-from auburncart.state import Batch, Replica, SubQuery
+from auburncart.state.search import SubQuery
+from auburncart.state.shards import Replica
+from auburncart.state.upstream import Batch
 from auburncart.transport.store import HttpStore
 from auburncart.transport.upstream import HttpUpstreamDialer
 
--- a/auburncart/bench/measure.py
+++ b/auburncart/bench/measure.py
@@ -7,7 +7,8 @@
 
 from auburncart.bench.tier import Tier
 from auburncart.coordination.observer import Observer
-from auburncart.state import Rank, SearchAnswer
+from auburncart.state.search import SearchAnswer
+from auburncart.state.work import Rank
 
 __all__ = [
     "CountingObserver",
--- a/auburncart/bench/plot.py
+++ b/auburncart/bench/plot.py
@@ -7,7 +7,7 @@
 from auburncart.bench.measure import Outcome
 from auburncart.bench.run import RunResult
 from auburncart.exception import InputError
-from auburncart.state import Rank
+from auburncart.state.work import Rank
 
 __all__ = ["coverage_over_time", "plot_runs"]
 
--- a/auburncart/bench/run.py
+++ b/auburncart/bench/run.py
@@ -17,7 +17,8 @@
 from auburncart.bench.site import Kind, SiteFile
 from auburncart.bench.tier import EntryVm, Tier
 from auburncart.exception import InputError
-from auburncart.state import Rank, SearchRequest
+from auburncart.state.search import SearchRequest
+from auburncart.state.work import Rank
 
 __all__ = ["Run", "RunResult", "loop_factory", "run_case"]
 
--- a/auburncart/bench/site.py
+++ b/auburncart/bench/site.py
@@ -9,7 +9,8 @@
 
 from auburncart.exception import InputError
 from auburncart.protocol.document import read_document
-from auburncart.state import Rank, Row, Table, TableDocument
+from auburncart.state.table import Row, Table, TableDocument
+from auburncart.state.work import Rank
 
 __all__ = ["SITES", "DataCentre", "Group", "Kind", "Latency", "SiteFile", "load_site"]
 
--- a/auburncart/bench/spread.py
+++ b/auburncart/bench/spread.py
@@ -21,7 +21,9 @@
 from auburncart.standins.fakes import FakeStore
 from auburncart.standins.fleet import MemoryNetwork, Vm, make_fleet
 from auburncart.standins.platform import PlatformModel
-from auburncart.state import Rank, Row, ShardMap
+from auburncart.state.shards import ShardMap
+from auburncart.state.table import Row
+from auburncart.state.work import Rank
 
 __all__ = ["measure"]
 
--- a/auburncart/bench/tests/test_fit.py
+++ b/auburncart/bench/tests/test_fit.py
@@ -6,7 +6,8 @@
 from auburncart.bench.fit import Point, fit
 from auburncart.bench.loopback import ControlCost
 from auburncart.bench.measure import Outcome, Recorder
-from auburncart.state import Coverage, Rank, SearchAnswer
+from auburncart.state.search import Coverage, SearchAnswer
+from auburncart.state.work import Rank
 
 COST = ControlCost(0.001, 0.002, 2_000_000, 446, 4366)
 
--- a/auburncart/bench/tests/test_plot.py
+++ b/auburncart/bench/tests/test_plot.py
@@ -9,7 +9,7 @@
 from auburncart.bench.run import run_case
 from auburncart.bench.tests.test_run import small_site
 from auburncart.exception import InputError
-from auburncart.state import Rank
+from auburncart.state.work import Rank
 
 
 class PlotTest(unittest.TestCase):
--- a/auburncart/bench/tests/test_run.py
+++ b/auburncart/bench/tests/test_run.py
@@ -13,14 +13,9 @@
 from auburncart.bench.tier import Tier
 from auburncart.exception import InputError
 from auburncart.standins.upstream import UpstreamModel
-from auburncart.state import (
-    Batch,
-    Coverage,
-    MissingShard,
-    SearchAnswer,
-    Step,
-    UpstreamCondition,
-)
+from auburncart.state.failure import Step
+from auburncart.state.search import Coverage, MissingShard, SearchAnswer
+from auburncart.state.upstream import Batch, UpstreamCondition
 from auburncart.tests.virtual import virtual_time
 
 
--- a/auburncart/bench/tier.py
+++ b/auburncart/bench/tier.py
@@ -21,7 +21,9 @@
 from auburncart.standins.platform import PlatformModel
 from auburncart.standins.site import demo_hits, make_shard_map
 from auburncart.standins.upstream import UpstreamModel, UpstreamShape
-from auburncart.state import Member, Seat, SeatPlan, SeatPlans, ShardMap
+from auburncart.state.member import Member
+from auburncart.state.seat import Seat, SeatPlan, SeatPlans
+from auburncart.state.shards import ShardMap
 
 __all__ = ["POLICIES", "EntryVm", "Tier", "VmParts", "make_shapes"]
 
--- a/auburncart/command/table.py
+++ b/auburncart/command/table.py
@@ -30,7 +30,7 @@
     read_table,
     table_of,
 )
-from auburncart.state import CentreStatus, VmStatus
+from auburncart.state.status import CentreStatus, VmStatus
 from auburncart.transport.address import own_address
 from auburncart.transport.store import HttpStore
 
--- a/auburncart/coordination/admission.py
+++ b/auburncart/coordination/admission.py
@@ -8,7 +8,9 @@
 
 from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.table import TableKeeper
-from auburncart.state import Refusal, RefusalCode, Row, Step, Work
+from auburncart.state.failure import Refusal, RefusalCode, Step
+from auburncart.state.table import Row
+from auburncart.state.work import Work
 
 __all__ = ["Admission", "FirstComeAdmission", "Ticket"]
 
--- a/auburncart/coordination/audit.py
+++ b/auburncart/coordination/audit.py
@@ -2,7 +2,7 @@
 
 from auburncart.coordination.interfaces import Key, Store
 from auburncart.exception import StoreConflictError, StoreUnavailableError
-from auburncart.state import AuditArchive, AuditEntry, Row, TableDocument
+from auburncart.state.table import AuditArchive, AuditEntry, Row, TableDocument
 
 __all__ = ["Archivist", "archive_key", "describe", "read_history", "search_audit", "stored_size"]
 
--- a/auburncart/coordination/batching.py
+++ b/auburncart/coordination/batching.py
@@ -2,7 +2,8 @@
 
 from abc import ABC, abstractmethod
 
-from auburncart.state import Rank, Replica
+from auburncart.state.shards import Replica
+from auburncart.state.work import Rank
 
 __all__ = ["Batching", "OnePerRequest", "UpToLimit"]
 
--- a/auburncart/coordination/bucket.py
+++ b/auburncart/coordination/bucket.py
@@ -9,7 +9,7 @@
 
 from auburncart.coordination.interfaces import Key, Store, Stored
 from auburncart.exception import AuburncartError, StoreConflictError, StoreUnavailableError
-from auburncart.state import (
+from auburncart.state.order import (
     Claim,
     ClaimBucket,
     ClaimChange,
--- a/auburncart/coordination/capacity.py
+++ b/auburncart/coordination/capacity.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from auburncart.coordination.load_meter import LoadMeter
-from auburncart.state import Rank
+from auburncart.state.work import Rank
 
 __all__ = ["TOLERANCE", "AdaptiveCapacity", "Capacity", "FixedCapacity", "Sample"]
 
--- a/auburncart/coordination/catalogue.py
+++ b/auburncart/coordination/catalogue.py
@@ -6,7 +6,7 @@
 
 from auburncart.coordination.follow import follow
 from auburncart.coordination.interfaces import Key, Store
-from auburncart.state import Replica, ShardMap
+from auburncart.state.shards import Replica, ShardMap
 
 __all__ = ["SHARD_MAP", "Catalogue"]
 
--- a/auburncart/coordination/change.py
+++ b/auburncart/coordination/change.py
@@ -14,7 +14,7 @@
     StoreUnavailableError,
     TableConflictError,
 )
-from auburncart.state import AuditEntry, Floors, Row, Table, TableDocument
+from auburncart.state.table import AuditEntry, Floors, Row, Table, TableDocument
 
 __all__ = ["Accepted", "Author", "Proposal", "TableEditor", "changed_rows"]
 
@@ -189,7 +189,7 @@
 ) -> tuple[tuple[Row, ...], tuple[Row, ...]]:
     """Return the rows changed or removed as they were, and those changed or added as they are.
 
-    >>> from auburncart.state import Rank
+    >>> from auburncart.state.work import Rank
     >>> row = Row("*", "search", Rank.URGENT)
     >>> changed_rows((row,), (row._replace(weight=2.0),))[1][0].weight
     2.0
--- a/auburncart/coordination/claims.py
+++ b/auburncart/coordination/claims.py
@@ -6,7 +6,7 @@
 from auburncart.coordination.bucket import BucketWriter
 from auburncart.coordination.idempotency import place_of
 from auburncart.coordination.interfaces import Store
-from auburncart.state import ClaimChange, ClaimVerdict
+from auburncart.state.order import ClaimChange, ClaimVerdict
 
 __all__ = ["Claims", "StoredClaims"]
 
--- a/auburncart/coordination/connections.py
+++ b/auburncart/coordination/connections.py
@@ -12,7 +12,8 @@
 from auburncart.coordination.observer import Observer
 from auburncart.coordination.redial import Redialing
 from auburncart.exception import UpstreamError
-from auburncart.state import Failure, FailureCode, Replica, Step
+from auburncart.state.failure import Failure, FailureCode, Step
+from auburncart.state.shards import Replica
 
 __all__ = ["ConnectionPool", "Errand", "Errands"]
 
--- a/auburncart/coordination/drain.py
+++ b/auburncart/coordination/drain.py
@@ -10,14 +10,10 @@
 from auburncart.coordination.follow import follow
 from auburncart.coordination.interfaces import Key, Store
 from auburncart.coordination.upstream import Upstream
-from auburncart.state import (
-    Failure,
-    FailureCode,
-    ShardMap,
-    Step,
-    UpstreamCondition,
-    UpstreamStatus,
-)
+from auburncart.state.failure import Failure, FailureCode, Step
+from auburncart.state.leaving import UpstreamStatus
+from auburncart.state.shards import ShardMap
+from auburncart.state.upstream import UpstreamCondition
 
 __all__ = ["UPSTREAM_STATUS", "Draining", "NoDraining", "SignedDraining", "UsableChoice"]
 
--- a/auburncart/coordination/exchange.py
+++ b/auburncart/coordination/exchange.py
@@ -7,7 +7,8 @@
 from auburncart.coordination.interfaces import UpstreamConnection
 from auburncart.coordination.job import OrderJob
 from auburncart.exception import UpstreamError
-from auburncart.state import Batch, BatchReply, FailureCode
+from auburncart.state.failure import FailureCode
+from auburncart.state.upstream import Batch, BatchReply
 
 __all__ = ["send_batch", "send_order"]
 
--- a/auburncart/coordination/fleet.py
+++ b/auburncart/coordination/fleet.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 
 from auburncart.coordination.upstream import Upstream
-from auburncart.state import Replica, Shard, ShardMap
+from auburncart.state.shards import Replica, Shard, ShardMap
 
 __all__ = ["Fleet"]
 
--- /dev/null
+++ b/auburncart/coordination/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Passing requests on to replicas: routes, replicas, attempts, and searches over shards."""
--- /dev/null
+++ b/auburncart/coordination/forwarding/budget.py
@@ -0,0 +1,83 @@
+"""Bounds on the extra requests that hedges and retries put on a service."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+__all__ = ["BudgetBounds", "RetryBudget"]
+
+BUCKETS = 10  # of the window: a request's age is known to a tenth of it
+SAFETY = 0.85  # share that is used: VMs count in windows that lie apart by a bucket
+
+
+class BudgetBounds(NamedTuple):
+    """Bounds of the whole tier for one service.
+
+    :param ratio: extra requests for each request.
+    :param slack: extra requests beyond that.
+    :param window: seconds in which both are counted.
+    """
+
+    ratio: float = 0.2
+    slack: float = 50.0
+    window: float = 10.0
+
+
+class _Bucket(NamedTuple):
+    start: float
+    requests: int
+    extras: int
+
+
+class RetryBudget:
+    """This VM's share of the bounds, for each service.
+
+    :param bounds: bounds of the whole tier.
+    :param vms: returns the number of VMs that share the slack.
+    """
+
+    def __init__(self, bounds: BudgetBounds, vms: Callable[[], int]) -> None:
+        self._bounds = bounds
+        self._vms = vms
+        self._services: dict[str, deque[_Bucket]] = {}
+
+    def record_request(self, service: str) -> None:
+        """Count a caller's request for a service."""
+        self._add(service, 1, 0)
+
+    def left(self, service: str) -> float:
+        """Return the number of extra requests that may be sent now."""
+        buckets = self._recent(service)
+        requests = sum(bucket.requests for bucket in buckets)
+        extras = sum(bucket.extras for bucket in buckets)
+        slack = self._bounds.slack / max(1, self._vms())
+        return SAFETY * (self._bounds.ratio * requests + slack) - extras
+
+    def spend(self, service: str, *, reserve: float = 0.0) -> bool:
+        """Count an extra request if the budget allows it.
+
+        :param reserve: extra requests that must be left for others afterwards.
+        """
+        if self.left(service) < 1.0 + reserve:
+            return False
+        self._add(service, 0, 1)
+        return True
+
+    def _add(self, service: str, requests: int, extras: int) -> None:
+        buckets = self._recent(service)
+        now = asyncio.get_running_loop().time()
+        if buckets and now - buckets[-1].start < self._bounds.window / BUCKETS:
+            last = buckets.pop()
+            requests += last.requests
+            extras += last.extras
+            now = last.start
+        buckets.append(_Bucket(now, requests, extras))
+
+    def _recent(self, service: str) -> deque[_Bucket]:
+        buckets = self._services.setdefault(service, deque())
+        # One bucket more than the window, so that no extra request is forgotten too early.
+        oldest = asyncio.get_running_loop().time() - self._bounds.window * (1.0 + 1.0 / BUCKETS)
+        while buckets and buckets[0].start < oldest:
+            buckets.popleft()
+        return buckets
--- /dev/null
+++ b/auburncart/coordination/forwarding/gateway.py
@@ -0,0 +1,177 @@
+"""Answers callers' requests by the routes in force."""
+
+import asyncio
+from collections.abc import Callable
+
+from auburncart.coordination.forwarding.attempts import Attempts, Outcome, Plan, Tools
+from auburncart.coordination.forwarding.configuration import ConfigurationKeeper
+from auburncart.coordination.forwarding.interfaces import Forwarder
+from auburncart.coordination.forwarding.scatter import Scatter
+from auburncart.coordination.forwarding.split import WeightedSplit
+from auburncart.coordination.shutdown import Drain
+from auburncart.state.configuration import Route
+from auburncart.state.event import Answered, Left, Refused, Routed
+from auburncart.state.failure import FailureCode, Ran, Refusal, RefusalCode, Step
+from auburncart.state.forward import ForwardAnswer, ForwardRequest, Merged, Passed
+
+__all__ = ["Gateway"]
+
+HEDGE_SHARE = 0.45  # of the latency target: leaves a second replica as much time again
+ANSWER_MARGIN_SECONDS = 0.02  # of the latency target: the way to the caller and back, twice
+DEADLINE_MARGIN_SECONDS = 0.02  # before a caller's deadline, so that the answer arrives in it
+RETRY_AFTER_SECONDS = 0.25  # a replica is ejected for about as long
+
+
+class Gateway(Forwarder):
+    """Answers each request by its route: by one replica, or by all shards.
+
+    :param keeper: the configuration in force.
+    :param tools: what tries are made with.
+    :param drain: the requests in flight.
+    :param replicas_age: returns seconds since the store last confirmed the list of replicas.
+    """
+
+    def __init__(
+        self,
+        keeper: ConfigurationKeeper,
+        tools: Tools,
+        drain: Drain,
+        replicas_age: Callable[[], float],
+    ) -> None:
+        self._keeper = keeper
+        self._tools = tools
+        self._drain = drain
+        self._replicas_age = replicas_age
+        self._split = WeightedSplit()
+
+    @property
+    def ready(self) -> bool:
+        """Whether new callers should come here."""
+        return self._drain.ready
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this VM is being stopped."""
+        return self._drain.leaving
+
+    async def answer(self, request: ForwardRequest) -> ForwardAnswer:
+        """Answer a request by the routes in force when it came."""
+        with self._drain.request():
+            table = self._keeper.table
+            route = table.match(request.host, request.path) if table else None
+            try:
+                answer = await self._answer(request, route)
+            except asyncio.CancelledError:
+                self._tools.journal.record(Left(request.request_id, self._age(request)))
+                raise
+            self._record(request, route, answer)
+            return answer
+
+    async def _answer(self, request: ForwardRequest, route: Route | None) -> ForwardAnswer:
+        if self._keeper.table is None:
+            return Refusal(
+                RefusalCode.UNAVAILABLE,
+                "no configuration yet",
+                retry_after=RETRY_AFTER_SECONDS,
+                step=Step.ROUTE,
+            )
+        if route is None:
+            return Refusal(RefusalCode.NO_ROUTE, "no route for this path", step=Step.ROUTE)
+        until = min(request.deadline - DEADLINE_MARGIN_SECONDS, request.arrived + route.timeout)
+        if route.shards:
+            return await self._search(request, route, until)
+        return await self._pass_on(request, route, until)
+
+    async def _search(
+        self, request: ForwardRequest, route: Route, until: float
+    ) -> Merged | Refusal:
+        self._record_route(request, route, f"{len(route.shards)} shards", until)
+        deliver_at = request.arrived + route.latency_target - ANSWER_MARGIN_SECONDS
+        scatter = Scatter(
+            request,
+            route,
+            self._tools,
+            HEDGE_SHARE * route.latency_target,
+            min(deliver_at, until),
+            until,
+        )
+        answer = await scatter.run()
+        if isinstance(answer, Refusal) and answer.ran is Ran.NO:
+            return answer._replace(retry_after=RETRY_AFTER_SECONDS)
+        return answer
+
+    async def _pass_on(
+        self, request: ForwardRequest, route: Route, until: float
+    ) -> Passed | Refusal:
+        service = self._split.pick(route)
+        self._record_route(request, route, service, until)
+        self._tools.budget.record_request(service)
+        plan = Plan(
+            service,
+            route.priority,
+            route.idempotent,
+            route.most_attempts,
+            HEDGE_SHARE * route.latency_target,
+            until,
+        )
+        outcome = await Attempts(request, plan, self._tools).run()
+        return self._result(outcome)
+
+    def _result(self, outcome: Outcome) -> Passed | Refusal:
+        reply, failure = outcome.reply, outcome.failure
+        if reply is not None and (reply.stamp or not reply.succeeded):
+            return Passed(reply)
+        if failure is None:
+            reason = "the reply has no proof of its own"
+            return Refusal(RefusalCode.FAILED, reason, Ran.UNKNOWN, step=Step.MATCH)
+        if not outcome.may_have_run:
+            code = RefusalCode.UNAVAILABLE
+            if failure.code is FailureCode.SHED:
+                code = RefusalCode.OVERLOADED
+            return Refusal(
+                code, failure.reason, Ran.NO, RETRY_AFTER_SECONDS, failure.step, failure.peer
+            )
+        code = RefusalCode.FAILED
+        if failure.code is FailureCode.TIMED_OUT:
+            code = RefusalCode.TIMED_OUT
+        return Refusal(code, failure.reason, Ran.UNKNOWN, 0.0, failure.step, failure.peer)
+
+    def _record_route(
+        self, request: ForwardRequest, route: Route, service: str, until: float
+    ) -> None:
+        self._tools.journal.record(
+            Routed(
+                request.request_id,
+                route.name,
+                service,
+                self._keeper.version,
+                self._keeper.age,
+                until - asyncio.get_running_loop().time(),
+            )
+        )
+
+    def _record(self, request: ForwardRequest, route: Route | None, answer: ForwardAnswer) -> None:
+        name = route.name if route else ""
+        seconds = self._age(request)
+        if isinstance(answer, Refusal):
+            event = Refused(
+                request.request_id,
+                name,
+                answer.code.value,
+                f"{answer.step.value} {answer.peer}: {answer.reason}",
+                answer.ran.value,
+                seconds,
+                self._keeper.version,
+                self._replicas_age(),
+            )
+            self._tools.journal.record(event)
+            return
+        missing = answer.failures if isinstance(answer, Merged) else {}
+        status = answer.reply.status if isinstance(answer, Passed) else 200
+        cause = next((failure.reason for failure in missing.values()), "")
+        self._tools.journal.record(
+            Answered(request.request_id, name, status, seconds, len(missing), tuple(missing), cause)
+        )
+
+    def _age(self, request: ForwardRequest) -> float:
+        return asyncio.get_running_loop().time() - request.arrived
--- /dev/null
+++ b/auburncart/coordination/forwarding/kinds.py
@@ -0,0 +1,183 @@
+"""Following all objects of one kind in the platform's store, whatever the store does."""
+
+import asyncio
+import random
+from abc import ABC, abstractmethod
+from typing import Any, NamedTuple
+
+from auburncart.coordination.backoff import Backoff
+from auburncart.coordination.forwarding.journal import Journal
+from auburncart.exception import AuburncartError, HistoryLostError
+from auburncart.state.event import DependencyLost, DependencyRegained, EntryUnreadable
+
+__all__ = ["Changes", "Entry", "KindFollower", "KindSink", "KindStore", "Page"]
+
+WATCH_SECONDS = 25.0  # below the 30 s that the store holds a watch; probes find a silent link
+FIRST_BACKOFF_SECONDS = 0.1  # a store that is back must be seen within two seconds
+MOST_BACKOFF_SECONDS = 1.0
+
+
+class Entry(NamedTuple):
+    """An object, or the end of one.
+
+    :param value: its decoded value; None if it was deleted or cannot be read.
+    :param revision: revision of its last change.
+    :param fault: why it cannot be read, ``""`` if it can.
+    """
+
+    name: str
+    value: Any
+    revision: int
+    fault: str = ""
+
+
+class Page(NamedTuple):
+    """A part of a list.
+
+    :param more: whether the list goes on after the last entry.
+    :param revision: the store's revision.
+    """
+
+    entries: tuple[Entry, ...]
+    more: bool
+    revision: int
+
+
+class Changes(NamedTuple):
+    """What has changed since a revision; ``revision`` is where to go on."""
+
+    entries: tuple[Entry, ...]
+    revision: int
+
+
+class KindStore(ABC):
+    """A store whose objects are listed and watched by their kind.
+
+    Every call may raise :class:`~auburncart.exception.StoreUnavailableError`.
+    """
+
+    @abstractmethod
+    async def list(self, kind: str, after: str = "", *, stale: bool = False) -> Page:
+        """Return the objects of a kind whose names follow ``after``.
+
+        :param stale: whether an answer that is seconds old will do; it costs less.
+        """
+
+    @abstractmethod
+    async def changes(self, kind: str, revision: int, wait: float) -> Changes:
+        """Wait until objects of a kind change.
+
+        :param wait: seconds after which to return without any.
+        :raises HistoryLostError: changes since the revision are no longer known.
+        """
+
+    @abstractmethod
+    async def put(self, kind: str, name: str, value: Any) -> None:
+        """Write an object, whether it exists or not."""
+
+    @abstractmethod
+    async def delete(self, kind: str, name: str) -> None:
+        """Delete an object; one that does not exist is no error."""
+
+
+class KindSink(ABC):
+    """What a kind's objects are given to."""
+
+    @abstractmethod
+    def replace(self, entries: tuple[Entry, ...]) -> None:
+        """Take in the whole list."""
+
+    @abstractmethod
+    def change(self, entry: Entry) -> None:
+        """Take in one change."""
+
+    @abstractmethod
+    def confirm(self) -> None:
+        """Take in that what is known is what the store holds now."""
+
+    @abstractmethod
+    def returned(self) -> None:
+        """Take in that the store answers again after it did not."""
+
+
+class KindFollower:
+    """Lists a kind once and watches it from then on.
+
+    :param store: the store.
+    :param kind: the kind.
+    :param sink: told of the objects.
+    :param journal: told when the store is lost and regained.
+    :param rng: source of the jitter, another one on each VM.
+    """
+
+    def __init__(
+        self, store: KindStore, kind: str, sink: KindSink, journal: Journal, rng: random.Random
+    ) -> None:
+        self._store = store
+        self._kind = kind
+        self._sink = sink
+        self._journal = journal
+        self._backoff = Backoff(rng, FIRST_BACKOFF_SECONDS, MOST_BACKOFF_SECONDS)
+        self._revision: int | None = None
+        self._lost_at: float | None = None
+        self._confirmed_at = float("-inf")
+
+    @property
+    def age(self) -> float:
+        """Seconds since the store last said what it holds."""
+        return asyncio.get_running_loop().time() - self._confirmed_at
+
+    async def run(self) -> None:
+        """Follow the kind; runs until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except HistoryLostError:
+                self._revision = None
+            except AuburncartError as error:
+                self._lose(error)
+                await asyncio.sleep(self._backoff.next())
+
+    async def _step(self) -> None:
+        if self._revision is None:
+            entries, revision = await self._list_all()
+            self._regain()
+            self._sink.replace(self._readable(entries))
+            self._revision = revision
+        else:
+            wait = WATCH_SECONDS if self._lost_at is None else 0.0
+            changes = await self._store.changes(self._kind, self._revision, wait)
+            self._regain()
+            for entry in self._readable(changes.entries):
+                self._sink.change(entry)
+            self._revision = changes.revision
+        self._confirmed_at = asyncio.get_running_loop().time()
+        self._sink.confirm()
+
+    async def _list_all(self) -> tuple[tuple[Entry, ...], int]:
+        """Return all objects, and the revision of the first page: later changes come again."""
+        page = await self._store.list(self._kind)
+        entries, revision = list(page.entries), page.revision
+        while page.more:
+            page = await self._store.list(self._kind, page.entries[-1].name)
+            entries += page.entries
+        return tuple(entries), revision
+
+    def _readable(self, entries: tuple[Entry, ...]) -> tuple[Entry, ...]:
+        for entry in entries:
+            if entry.fault:
+                self._journal.record(EntryUnreadable(self._kind, entry.name, entry.fault))
+        return entries
+
+    def _lose(self, error: AuburncartError) -> None:
+        if self._lost_at is None:
+            self._lost_at = asyncio.get_running_loop().time()
+            self._journal.record(DependencyLost(f"store {self._kind}", str(error)))
+
+    def _regain(self) -> None:
+        self._backoff.reset()
+        if self._lost_at is not None:
+            seconds = asyncio.get_running_loop().time() - self._lost_at
+            self._lost_at = None
+            self._journal.record(DependencyRegained(f"store {self._kind}", seconds))
+            self._sink.returned()
--- /dev/null
+++ b/auburncart/coordination/forwarding/routes.py
@@ -0,0 +1,42 @@
+"""The route of a request, by its host and the longest prefix of its path."""
+
+from auburncart.state.configuration import Configuration, Route
+
+__all__ = ["RouteTable"]
+
+
+class RouteTable:
+    """The routes of one version of the configuration, ready to look up.
+
+    :param configuration: the version.
+    """
+
+    def __init__(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+        self._hosts: dict[str, dict[str, Route]] = {}
+        for route in configuration.routes:
+            self._hosts.setdefault(route.host, {})[route.prefix] = route
+
+    @property
+    def configuration(self) -> Configuration:
+        """The version that the routes come from."""
+        return self._configuration
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route whose prefix is the longest that begins the path, or None.
+
+        >>> from auburncart.state.configuration import CallerLimits
+        >>> short = Route("s", "h", "/a/", True, 1.0, 0.1, 0, 2, ())
+        >>> table = RouteTable(Configuration(1, (short,), {}, CallerLimits()))
+        >>> table.match("h", "/a/b/c").name, table.match("h", "/ab/")
+        ('s', None)
+        """
+        prefixes = self._hosts.get(host)
+        if not prefixes:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
--- a/auburncart/coordination/gate.py
+++ b/auburncart/coordination/gate.py
@@ -3,7 +3,9 @@
 from abc import ABC, abstractmethod
 
 from auburncart.coordination.table import TableKeeper
-from auburncart.state import Rank, Refusal, RefusalCode, find_row
+from auburncart.state.failure import Refusal, RefusalCode
+from auburncart.state.table import find_row
+from auburncart.state.work import Rank
 
 __all__ = ["EveryRankGate", "OneRankGate", "RankGate"]
 
--- a/auburncart/coordination/gather.py
+++ b/auburncart/coordination/gather.py
@@ -13,20 +13,11 @@
 from auburncart.coordination.policies import Policies
 from auburncart.coordination.retry import Prospect
 from auburncart.coordination.upstream import Upstream
-from auburncart.state import (
-    Failure,
-    FailureCode,
-    QueryRun,
-    Rank,
-    SearchAnswer,
-    SearchRequest,
-    ShardAnswer,
-    ShardMap,
-    Step,
-    SubQuery,
-    coverage_of,
-    query_digest,
-)
+from auburncart.state.failure import Failure, FailureCode, Step
+from auburncart.state.query import QueryRun, query_digest
+from auburncart.state.search import SearchAnswer, SearchRequest, ShardAnswer, SubQuery, coverage_of
+from auburncart.state.shards import ShardMap
+from auburncart.state.work import Rank
 
 __all__ = ["Gather"]
 
--- a/auburncart/coordination/guard.py
+++ b/auburncart/coordination/guard.py
@@ -7,7 +7,7 @@
 from auburncart.coordination.backoff import Backoff
 from auburncart.coordination.interfaces import Key, Store, Stored
 from auburncart.exception import ProtocolError, StoreConflictError, StoreUnavailableError
-from auburncart.state import Member
+from auburncart.state.member import Member
 
 __all__ = ["GuardedStore"]
 
--- a/auburncart/coordination/handshake.py
+++ b/auburncart/coordination/handshake.py
@@ -8,7 +8,8 @@
 
 from auburncart.coordination.interfaces import PeerLink
 from auburncart.exception import LinkError, ProtocolError
-from auburncart.state import Hello, LinkMessage, Member, Proof
+from auburncart.state.link import Hello, LinkMessage, Proof
+from auburncart.state.member import Member
 
 __all__ = ["KeyRing", "greet"]
 
--- a/auburncart/coordination/health.py
+++ b/auburncart/coordination/health.py
@@ -7,7 +7,8 @@
     UpstreamShedError,
     UpstreamTimeoutError,
 )
-from auburncart.state import Failure, FailureCode, Step, UpstreamCondition
+from auburncart.state.failure import Failure, FailureCode, Step
+from auburncart.state.upstream import UpstreamCondition
 
 __all__ = ["UpstreamHealth", "failure_of"]
 
--- a/auburncart/coordination/hedge.py
+++ b/auburncart/coordination/hedge.py
@@ -6,7 +6,7 @@
 
 from auburncart.coordination.latency import RecentLatency
 from auburncart.coordination.upstream import Upstream
-from auburncart.state import Rank
+from auburncart.state.work import Rank
 
 __all__ = ["AdaptiveHedging", "Hedging", "NoHedging"]
 
--- a/auburncart/coordination/holder.py
+++ b/auburncart/coordination/holder.py
@@ -12,7 +12,7 @@
 from auburncart.coordination.observer import Observer
 from auburncart.coordination.recent import RecentClaims
 from auburncart.exception import StoreUnavailableError
-from auburncart.state import (
+from auburncart.state.order import (
     Claim,
     ClaimChange,
     ClaimState,
--- a/auburncart/coordination/interfaces.py
+++ b/auburncart/coordination/interfaces.py
@@ -7,15 +7,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Generic, NamedTuple, TypeVar
 
-from auburncart.state import (
-    Batch,
-    BatchReply,
-    LinkMessage,
-    Member,
-    OrderReply,
-    Replica,
-    UpstreamOrder,
-)
+from auburncart.state.link import LinkMessage
+from auburncart.state.member import Member
+from auburncart.state.shards import Replica
+from auburncart.state.upstream import Batch, BatchReply, OrderReply, UpstreamOrder
 
 __all__ = [
     "Key",
--- a/auburncart/coordination/job.py
+++ b/auburncart/coordination/job.py
@@ -5,15 +5,11 @@
 
 from auburncart.coordination.mailbox import Mailbox
 from auburncart.exception import UpstreamError
-from auburncart.state import (
-    Failure,
-    OrderReply,
-    QueryRun,
-    Rank,
-    ShardAnswer,
-    SubQuery,
-    UpstreamOrder,
-)
+from auburncart.state.failure import Failure
+from auburncart.state.query import QueryRun
+from auburncart.state.search import ShardAnswer, SubQuery
+from auburncart.state.upstream import OrderReply, UpstreamOrder
+from auburncart.state.work import Rank
 
 __all__ = ["Job", "JobResult", "OrderJob"]
 
--- a/auburncart/coordination/jobqueue.py
+++ b/auburncart/coordination/jobqueue.py
@@ -5,7 +5,9 @@
 from auburncart.coordination.batching import Batching
 from auburncart.coordination.job import Job
 from auburncart.coordination.quarantine import Quarantine
-from auburncart.state import Failure, FailureCode, Rank, Replica, Step
+from auburncart.state.failure import Failure, FailureCode, Step
+from auburncart.state.shards import Replica
+from auburncart.state.work import Rank
 
 __all__ = ["JobQueue"]
 
--- a/auburncart/coordination/lane.py
+++ b/auburncart/coordination/lane.py
@@ -5,7 +5,8 @@
 
 from auburncart.coordination.capacity import Capacity
 from auburncart.coordination.fair import FairQueue
-from auburncart.state import Rank, Row, Work
+from auburncart.state.table import Row
+from auburncart.state.work import Rank, Work
 
 __all__ = ["Gate", "Lane", "Waiter"]
 
--- a/auburncart/coordination/limits.py
+++ b/auburncart/coordination/limits.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 
-from auburncart.state import Replica
+from auburncart.state.shards import Replica
 
 __all__ = ["ConnectionLimit", "FixedLimit"]
 
--- a/auburncart/coordination/links.py
+++ b/auburncart/coordination/links.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from auburncart.coordination.interfaces import PeerLink
-from auburncart.state import Member
+from auburncart.state.member import Member
 
 __all__ = ["Linked", "Links"]
 
--- a/auburncart/coordination/loaded.py
+++ b/auburncart/coordination/loaded.py
@@ -7,7 +7,7 @@
 
 from auburncart.coordination.choice import ReplicaChoice
 from auburncart.coordination.upstream import Upstream
-from auburncart.state import UpstreamCondition
+from auburncart.state.upstream import UpstreamCondition
 
 __all__ = ["LeastLoadedChoice", "LeastOutstandingChoice"]
 
--- a/auburncart/coordination/membership.py
+++ b/auburncart/coordination/membership.py
@@ -16,7 +16,8 @@
 from eliot import log_message
 
 from auburncart.coordination.interfaces import Membership
-from auburncart.state import Condition, Member, MemberNews, Roll
+from auburncart.state.fact import MemberNews, Roll
+from auburncart.state.member import Condition, Member
 
 __all__ = ["Roster"]
 
--- a/auburncart/coordination/node.py
+++ b/auburncart/coordination/node.py
@@ -22,7 +22,7 @@
 from auburncart.coordination.shutdown import Drain
 from auburncart.coordination.table import TableKeeper
 from auburncart.coordination.upstream import Upstream
-from auburncart.state import Replica
+from auburncart.state.shards import Replica
 
 __all__ = ["Node"]
 
--- a/auburncart/coordination/observer.py
+++ b/auburncart/coordination/observer.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 
-from auburncart.state import Rank
+from auburncart.state.work import Rank
 
 __all__ = ["Observer", "SilentObserver"]
 
--- a/auburncart/coordination/order.py
+++ b/auburncart/coordination/order.py
@@ -16,21 +16,18 @@
 from auburncart.coordination.table import TableKeeper
 from auburncart.coordination.upstream import Upstream
 from auburncart.exception import InputError, StoreUnavailableError, UpstreamError
-from auburncart.state import (
+from auburncart.state.failure import Ran, Refusal
+from auburncart.state.order import (
     Claim,
     ClaimState,
     ClaimVerdict,
     OrderAnswer,
-    OrderReply,
     OrderRequest,
-    Ran,
-    Refusal,
-    Row,
-    UpstreamOrder,
     Verdict,
-    Work,
-    find_row,
 )
+from auburncart.state.table import Row, find_row
+from auburncart.state.upstream import OrderReply, UpstreamOrder
+from auburncart.state.work import Work
 
 __all__ = ["OrderService"]
 
--- a/auburncart/coordination/owner.py
+++ b/auburncart/coordination/owner.py
@@ -8,7 +8,8 @@
 from auburncart.coordination.interfaces import Membership, PeerBus
 from auburncart.coordination.rendezvous import top
 from auburncart.exception import LinkError, StoreUnavailableError
-from auburncart.state import ClaimChange, ClaimQuestion, ClaimReply, ClaimVerdict, Member
+from auburncart.state.member import Member
+from auburncart.state.order import ClaimChange, ClaimQuestion, ClaimReply, ClaimVerdict
 
 __all__ = ["OwnedClaims", "owner_of"]
 
--- a/auburncart/coordination/peers.py
+++ b/auburncart/coordination/peers.py
@@ -13,16 +13,9 @@
 from auburncart.coordination.links import Linked, Links
 from auburncart.coordination.observer import Observer
 from auburncart.exception import AuburncartError, LinkError, ProtocolError
-from auburncart.state import (
-    Answer,
-    Goodbye,
-    Heartbeat,
-    LinkMessage,
-    Member,
-    NoAnswer,
-    Publication,
-    Question,
-)
+from auburncart.state.fact import NoAnswer
+from auburncart.state.link import Answer, Goodbye, Heartbeat, LinkMessage, Publication, Question
+from auburncart.state.member import Member
 
 __all__ = ["LinkListener", "Peers"]
 
--- a/auburncart/coordination/pinning.py
+++ b/auburncart/coordination/pinning.py
@@ -9,15 +9,10 @@
 from auburncart.coordination.fleet import Fleet
 from auburncart.coordination.gather import Gather
 from auburncart.coordination.policies import Policies
-from auburncart.state import (
-    Rank,
-    Refusal,
-    RefusalCode,
-    SearchAnswer,
-    SearchRequest,
-    ShardMap,
-    Step,
-)
+from auburncart.state.failure import Refusal, RefusalCode, Step
+from auburncart.state.search import SearchAnswer, SearchRequest
+from auburncart.state.shards import ShardMap
+from auburncart.state.work import Rank
 
 __all__ = ["NOT_READY", "PinnedSearches"]
 
--- a/auburncart/coordination/policies.py
+++ b/auburncart/coordination/policies.py
@@ -19,7 +19,7 @@
 from auburncart.coordination.rates import EqualRates, NoRates, Rates
 from auburncart.coordination.redial import BackoffRedialing, ImmediateRedialing, Redialing
 from auburncart.coordination.retry import BudgetedRetrying, Retrying, RetryThrice
-from auburncart.state import Replica
+from auburncart.state.shards import Replica
 
 __all__ = ["Policies", "baseline_policies", "default_policies"]
 
--- a/auburncart/coordination/pressure.py
+++ b/auburncart/coordination/pressure.py
@@ -3,7 +3,7 @@
 import random
 from abc import ABC, abstractmethod
 
-from auburncart.state import Replica
+from auburncart.state.shards import Replica
 
 __all__ = ["AdaptiveInFlight", "InFlightLimit", "OpenInFlight", "SheddingInFlight"]
 
--- a/auburncart/coordination/quarantine.py
+++ b/auburncart/coordination/quarantine.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 
 from auburncart.coordination.interfaces import PeerBus
-from auburncart.state import QueryRun
+from auburncart.state.query import QueryRun
 
 __all__ = ["NoQuarantine", "Quarantine"]
 
--- a/auburncart/coordination/ranked.py
+++ b/auburncart/coordination/ranked.py
@@ -11,7 +11,9 @@
 from auburncart.coordination.lane import Lane, Waiter
 from auburncart.coordination.mailbox import CLOCK_STEP_SECONDS
 from auburncart.coordination.table import TableKeeper
-from auburncart.state import Rank, Refusal, RefusalCode, Row, Step, Work
+from auburncart.state.failure import Refusal, RefusalCode, Step
+from auburncart.state.table import Row
+from auburncart.state.work import Rank, Work
 
 __all__ = ["RankedAdmission"]
 
--- a/auburncart/coordination/ranked_batching.py
+++ b/auburncart/coordination/ranked_batching.py
@@ -1,7 +1,8 @@
 """Batches that are smaller for the less urgent ranks."""
 
 from auburncart.coordination.batching import Batching
-from auburncart.state import Rank, Replica
+from auburncart.state.shards import Replica
+from auburncart.state.work import Rank
 
 __all__ = ["RankedBatching"]
 
--- a/auburncart/coordination/rated.py
+++ b/auburncart/coordination/rated.py
@@ -6,7 +6,9 @@
 from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.rates import Rates
 from auburncart.coordination.table import TableKeeper
-from auburncart.state import Refusal, RefusalCode, Row, Step, Work
+from auburncart.state.failure import Refusal, RefusalCode, Step
+from auburncart.state.table import Row
+from auburncart.state.work import Work
 
 __all__ = ["RatedAdmission"]
 
--- a/auburncart/coordination/rates.py
+++ b/auburncart/coordination/rates.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
-from auburncart.state import Row
+from auburncart.state.table import Row
 
 __all__ = ["EqualRates", "NoRates", "Rates", "TokenBucket"]
 
--- a/auburncart/coordination/recent.py
+++ b/auburncart/coordination/recent.py
@@ -1,6 +1,6 @@
 """The claims that one process saw last, for when the store cannot be asked."""
 
-from auburncart.state import Claim, ClaimState
+from auburncart.state.order import Claim, ClaimState
 
 __all__ = ["RecentClaims"]
 
--- a/auburncart/coordination/refusals.py
+++ b/auburncart/coordination/refusals.py
@@ -1,7 +1,8 @@
 """The refusals of orders, each with what it may truly say of ``ran``."""
 
 from auburncart.exception import InputError, StoreUnavailableError, UpstreamError
-from auburncart.state import OrderRequest, Ran, Refusal, RefusalCode, Step
+from auburncart.state.failure import Ran, Refusal, RefusalCode, Step
+from auburncart.state.order import OrderRequest
 
 __all__ = ["OrderRefusals"]
 
--- a/auburncart/coordination/retry.py
+++ b/auburncart/coordination/retry.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from auburncart.state import Failure, FailureCode
+from auburncart.state.failure import Failure, FailureCode
 
 __all__ = ["BudgetedRetrying", "Prospect", "RetryPlan", "RetryThrice", "Retrying"]
 
--- a/auburncart/coordination/search.py
+++ b/auburncart/coordination/search.py
@@ -12,16 +12,11 @@
 from auburncart.coordination.pinning import NOT_READY, PinnedSearches
 from auburncart.coordination.policies import Policies
 from auburncart.coordination.table import TableKeeper
-from auburncart.state import (
-    Refusal,
-    RefusalCode,
-    Row,
-    SearchAnswer,
-    SearchRequest,
-    Work,
-    find_row,
-    query_digest,
-)
+from auburncart.state.failure import Refusal, RefusalCode
+from auburncart.state.query import query_digest
+from auburncart.state.search import SearchAnswer, SearchRequest
+from auburncart.state.table import Row, find_row
+from auburncart.state.work import Work
 
 __all__ = ["SearchService"]
 
--- a/auburncart/coordination/seats.py
+++ b/auburncart/coordination/seats.py
@@ -19,7 +19,8 @@
 
 from auburncart.coordination.interfaces import Key
 from auburncart.coordination.limits import ConnectionLimit
-from auburncart.state import Replica, Seat, SeatPlan, SeatPlans
+from auburncart.state.seat import Seat, SeatPlan, SeatPlans
+from auburncart.state.shards import Replica
 
 __all__ = ["SeatShares", "pool_of", "seats_key", "share_of"]
 
--- a/auburncart/coordination/settlement.py
+++ b/auburncart/coordination/settlement.py
@@ -6,7 +6,8 @@
 from auburncart.coordination.job import Job
 from auburncart.coordination.pressure import InFlightLimit
 from auburncart.coordination.quarantine import Quarantine
-from auburncart.state import BatchReply, Failure, FailureCode, Step, UpstreamCondition
+from auburncart.state.failure import Failure, FailureCode, Step
+from auburncart.state.upstream import BatchReply, UpstreamCondition
 
 __all__ = ["Settlement"]
 
--- a/auburncart/coordination/shared_rates.py
+++ b/auburncart/coordination/shared_rates.py
@@ -9,15 +9,9 @@
 from auburncart.coordination.rates import Rates, TokenBucket
 from auburncart.coordination.rendezvous import top
 from auburncart.exception import AuburncartError
-from auburncart.state import (
-    Condition,
-    Member,
-    RateDemand,
-    RateGrant,
-    RateGrants,
-    RateReport,
-    Row,
-)
+from auburncart.state.member import Condition, Member
+from auburncart.state.rate import RateDemand, RateGrant, RateGrants, RateReport
+from auburncart.state.table import Row
 
 __all__ = ["SharedRates"]
 
--- a/auburncart/coordination/shutdown.py
+++ b/auburncart/coordination/shutdown.py
@@ -53,6 +53,11 @@
         """Whether new requests should come here."""
         return self._prepared() and not self._leaving
 
+    @property
+    def leaving(self) -> bool:
+        """Whether this VM has begun to leave."""
+        return self._leaving
+
     @property
     def in_flight(self) -> int:
         """Number of requests that were taken and not answered yet."""
--- a/auburncart/coordination/spread.py
+++ b/auburncart/coordination/spread.py
@@ -15,7 +15,8 @@
 from auburncart.coordination.rendezvous import top
 from auburncart.coordination.subject import Subject
 from auburncart.exception import LinkError
-from auburncart.state import Member, NoAnswer
+from auburncart.state.fact import NoAnswer
+from auburncart.state.member import Member
 
 __all__ = ["Spread", "is_reader"]
 
--- a/auburncart/coordination/table.py
+++ b/auburncart/coordination/table.py
@@ -5,7 +5,7 @@
 
 from auburncart.coordination.follow import follow
 from auburncart.coordination.interfaces import Key, Store
-from auburncart.state import Table, TableDocument
+from auburncart.state.table import Table, TableDocument
 
 __all__ = ["TABLE", "TableKeeper"]
 
--- a/auburncart/coordination/tests/test_batching.py
+++ b/auburncart/coordination/tests/test_batching.py
@@ -5,7 +5,8 @@
 
 from auburncart.coordination.policies import default_policies
 from auburncart.coordination.ranked_batching import RankedBatching
-from auburncart.state import Rank, Replica, Shard, ShardMap
+from auburncart.state.shards import Replica, Shard, ShardMap
+from auburncart.state.work import Rank
 from auburncart.tests.site import Site, search_request
 from auburncart.tests.virtual import virtual_time
 
--- a/auburncart/coordination/tests/test_capacity.py
+++ b/auburncart/coordination/tests/test_capacity.py
@@ -3,7 +3,7 @@
 import unittest
 
 from auburncart.coordination.capacity import AdaptiveCapacity, Sample
-from auburncart.state import Rank
+from auburncart.state.work import Rank
 
 SHARE = 50.0
 
--- a/auburncart/coordination/tests/test_change.py
+++ b/auburncart/coordination/tests/test_change.py
@@ -8,7 +8,8 @@
 from auburncart.protocol.platform import MAX_VALUE_BYTES
 from auburncart.standins.fakes import FakeStore
 from auburncart.standins.platform import PlatformModel, WriteFault
-from auburncart.state import Rank, Row
+from auburncart.state.table import Row
+from auburncart.state.work import Rank
 from auburncart.tests.virtual import virtual_time
 
 FLOORS = (0.0, 0.1, 0.05)
--- a/auburncart/coordination/tests/test_choice.py
+++ b/auburncart/coordination/tests/test_choice.py
@@ -5,7 +5,8 @@
 
 from auburncart.coordination.loaded import LeastLoadedChoice
 from auburncart.coordination.policies import default_policies
-from auburncart.state import Replica, UpstreamCondition
+from auburncart.state.shards import Replica
+from auburncart.state.upstream import UpstreamCondition
 from auburncart.tests.site import Site, search_request
 from auburncart.tests.virtual import virtual_time
 
--- a/auburncart/coordination/tests/test_group.py
+++ b/auburncart/coordination/tests/test_group.py
@@ -7,7 +7,10 @@
 from auburncart.standins.fakes import FakeStore
 from auburncart.standins.fleet import MemoryNetwork, Vm, make_fleet
 from auburncart.standins.platform import PlatformModel
-from auburncart.state import Condition, Rank, Row, ShardMap, Table, TableDocument
+from auburncart.state.member import Condition
+from auburncart.state.shards import ShardMap
+from auburncart.state.table import Row, Table, TableDocument
+from auburncart.state.work import Rank
 from auburncart.tests.virtual import virtual_time
 
 IN_FORCE_SECONDS = 7.0
--- a/auburncart/coordination/tests/test_hedge.py
+++ b/auburncart/coordination/tests/test_hedge.py
@@ -6,7 +6,7 @@
 from auburncart.coordination.hedge import AdaptiveHedging
 from auburncart.coordination.latency import RecentLatency
 from auburncart.coordination.tests.trial import Figures, baseline, measure
-from auburncart.state import Rank
+from auburncart.state.work import Rank
 from auburncart.tests.site import Site, search_request
 from auburncart.tests.virtual import virtual_time
 
--- a/auburncart/coordination/tests/test_order.py
+++ b/auburncart/coordination/tests/test_order.py
@@ -21,17 +21,9 @@
 from auburncart.protocol.platform import MAX_VALUE_BYTES, encode_value
 from auburncart.standins.platform import WriteFault
 from auburncart.standins.site import DEMO_TABLE
-from auburncart.state import (
-    ClaimBucket,
-    ClaimChange,
-    ClaimStep,
-    OrderRequest,
-    Ran,
-    RefusalCode,
-    TableDocument,
-    Verdict,
-    find_row,
-)
+from auburncart.state.failure import Ran, RefusalCode
+from auburncart.state.order import ClaimBucket, ClaimChange, ClaimStep, OrderRequest, Verdict
+from auburncart.state.table import TableDocument, find_row
 from auburncart.tests.site import Site
 from auburncart.tests.virtual import virtual_time
 
--- a/auburncart/coordination/tests/test_order_interleavings.py
+++ b/auburncart/coordination/tests/test_order_interleavings.py
@@ -9,7 +9,7 @@
 
 from auburncart.coordination.tests.test_order_steps import World
 from auburncart.standins.platform import WriteFault
-from auburncart.state import Ran
+from auburncart.state.failure import Ran
 from auburncart.tests.steps import Fault
 
 VMS = st.sampled_from(("vm1", "vm2", "vm3"))
--- a/auburncart/coordination/tests/test_order_steps.py
+++ b/auburncart/coordination/tests/test_order_steps.py
@@ -21,7 +21,9 @@
 from auburncart.standins.platform import PlatformModel
 from auburncart.standins.site import DEMO_TABLE, make_shard_map
 from auburncart.standins.upstream import UpstreamModel, UpstreamShape
-from auburncart.state import Member, OrderRequest, Ran
+from auburncart.state.failure import Ran
+from auburncart.state.member import Member
+from auburncart.state.order import OrderRequest
 from auburncart.tests.steps import Fault, SteppedBus, SteppedDialer, SteppedStore, Steps
 from auburncart.tests.virtual import virtual_time
 
--- a/auburncart/coordination/tests/test_outage.py
+++ b/auburncart/coordination/tests/test_outage.py
@@ -13,7 +13,8 @@
 from auburncart.standins.fakes import FakeStore
 from auburncart.standins.platform import PlatformModel
 from auburncart.standins.site import DEMO_TABLE, publish
-from auburncart.state import OrderRequest, Ran
+from auburncart.state.failure import Ran
+from auburncart.state.order import OrderRequest
 from auburncart.tests.site import Site, search_request
 from auburncart.tests.virtual import virtual_time
 
--- a/auburncart/coordination/tests/test_owner.py
+++ b/auburncart/coordination/tests/test_owner.py
@@ -13,18 +13,17 @@
 from auburncart.protocol.peer import decode_message, encode_message
 from auburncart.standins.fakes import FakeBus, FakeMembership, FakeNetwork, FakeStore
 from auburncart.standins.site import DEMO_TABLE
-from auburncart.state import (
-    Answer,
+from auburncart.state.failure import Ran
+from auburncart.state.link import Answer, Question
+from auburncart.state.member import Member
+from auburncart.state.order import (
     Claim,
     ClaimChange,
     ClaimQuestion,
     ClaimReply,
     ClaimState,
     ClaimStep,
-    Member,
     OrderRequest,
-    Question,
-    Ran,
     Verdict,
 )
 from auburncart.tests.site import Site
--- a/auburncart/coordination/tests/test_pinning.py
+++ b/auburncart/coordination/tests/test_pinning.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from auburncart.state import Shard, ShardMap
+from auburncart.state.shards import Shard, ShardMap
 from auburncart.tests.site import Site, search_request
 from auburncart.tests.virtual import virtual_time
 
--- a/auburncart/coordination/tests/test_pressure.py
+++ b/auburncart/coordination/tests/test_pressure.py
@@ -5,7 +5,8 @@
 
 from auburncart.coordination.pressure import AdaptiveInFlight, OpenInFlight, SheddingInFlight
 from auburncart.coordination.tests.trial import both
-from auburncart.state import Replica, UpstreamCondition
+from auburncart.state.shards import Replica
+from auburncart.state.upstream import UpstreamCondition
 from auburncart.tests.site import Site, search_request
 from auburncart.tests.virtual import virtual_time
 
--- a/auburncart/coordination/tests/test_ranked.py
+++ b/auburncart/coordination/tests/test_ranked.py
@@ -8,7 +8,9 @@
 from auburncart.coordination.catalogue import Catalogue
 from auburncart.coordination.ranked import RankedAdmission
 from auburncart.coordination.table import TableKeeper
-from auburncart.state import Ran, Rank, Row, Table, TableDocument, Work
+from auburncart.state.failure import Ran
+from auburncart.state.table import Row, Table, TableDocument
+from auburncart.state.work import Rank, Work
 from auburncart.tests.virtual import virtual_time
 
 COST = 10
--- a/auburncart/coordination/tests/test_retry.py
+++ b/auburncart/coordination/tests/test_retry.py
@@ -6,7 +6,8 @@
 from auburncart.coordination.policies import baseline_policies
 from auburncart.coordination.redial import BackoffRedialing
 from auburncart.coordination.retry import BudgetedRetrying, Prospect, RetryThrice
-from auburncart.state import Failure, FailureCode, Step, UpstreamCondition
+from auburncart.state.failure import Failure, FailureCode, Step
+from auburncart.state.upstream import UpstreamCondition
 from auburncart.tests.site import Site, search_request
 from auburncart.tests.virtual import virtual_time
 
--- a/auburncart/coordination/tests/test_search.py
+++ b/auburncart/coordination/tests/test_search.py
@@ -5,7 +5,8 @@
 
 import eliot
 
-from auburncart.state import OrderRequest, Ran, RefusalCode
+from auburncart.state.failure import Ran, RefusalCode
+from auburncart.state.order import OrderRequest
 from auburncart.tests.site import Site, search_request
 from auburncart.tests.virtual import virtual_time
 
--- a/auburncart/coordination/tests/test_seating.py
+++ b/auburncart/coordination/tests/test_seating.py
@@ -7,7 +7,8 @@
 from auburncart.standins.fakes import FakeStore
 from auburncart.standins.fleet import MemoryNetwork, Vm
 from auburncart.standins.platform import PlatformModel, WriteFault
-from auburncart.state import Replica, Seat, ShardMap
+from auburncart.state.seat import Seat
+from auburncart.state.shards import Replica, ShardMap
 from auburncart.tests.virtual import virtual_time
 
 REPLICAS = (
--- a/auburncart/coordination/tests/test_seats.py
+++ b/auburncart/coordination/tests/test_seats.py
@@ -2,7 +2,8 @@
 import unittest
 
 from auburncart.coordination.seats import SeatShares, pool_of, share_of
-from auburncart.state import Replica, Seat, SeatPlan, SeatPlans
+from auburncart.state.seat import Seat, SeatPlan, SeatPlans
+from auburncart.state.shards import Replica
 
 REPLICAS = (
     Replica("10.1.0.1:80", "dc1", connections=25),
--- a/auburncart/coordination/tests/test_shared_rates.py
+++ b/auburncart/coordination/tests/test_shared_rates.py
@@ -7,7 +7,10 @@
 from auburncart.coordination.rates import Rates
 from auburncart.coordination.shared_rates import GRANT_SECONDS, SharedRates
 from auburncart.standins.fakes import FakeBus, FakeMembership, FakeNetwork
-from auburncart.state import Condition, Member, Ran, Rank, Row
+from auburncart.state.failure import Ran
+from auburncart.state.member import Condition, Member
+from auburncart.state.table import Row
+from auburncart.state.work import Rank
 from auburncart.tests.site import Site, search_request
 from auburncart.tests.virtual import virtual_time
 
--- a/auburncart/coordination/tests/test_together.py
+++ b/auburncart/coordination/tests/test_together.py
@@ -12,7 +12,8 @@
 from auburncart.coordination.tests.test_shutdown import Port
 from auburncart.scenario.pause import Freezer, FrozenDialer, FrozenStore
 from auburncart.standins.fakes import FakeDialer, FakeStore
-from auburncart.state import OrderRequest, Ran
+from auburncart.state.failure import Ran
+from auburncart.state.order import OrderRequest
 from auburncart.tests.site import Site, search_request
 from auburncart.tests.virtual import virtual_time
 
--- a/auburncart/coordination/tests/test_upstream.py
+++ b/auburncart/coordination/tests/test_upstream.py
@@ -12,7 +12,11 @@
 from auburncart.coordination.upstream import Upstream
 from auburncart.standins.fakes import FakeDialer
 from auburncart.standins.upstream import UpstreamCrashError, UpstreamModel, UpstreamShape
-from auburncart.state import FailureCode, Rank, Replica, SubQuery, UpstreamOrder
+from auburncart.state.failure import FailureCode
+from auburncart.state.search import SubQuery
+from auburncart.state.shards import Replica
+from auburncart.state.upstream import UpstreamOrder
+from auburncart.state.work import Rank
 from auburncart.tests.virtual import virtual_time
 
 ADDRESS = "10.0.0.1:80"
--- a/auburncart/coordination/tests/trial.py
+++ b/auburncart/coordination/tests/trial.py
@@ -19,7 +19,8 @@
 from auburncart.coordination.pressure import AdaptiveInFlight
 from auburncart.coordination.redial import BackoffRedialing
 from auburncart.coordination.retry import BudgetedRetrying
-from auburncart.state import SearchRequest, UpstreamCondition
+from auburncart.state.search import SearchRequest
+from auburncart.state.upstream import UpstreamCondition
 from auburncart.tests.site import Site
 
 SHARDS = 21
--- a/auburncart/coordination/upstream.py
+++ b/auburncart/coordination/upstream.py
@@ -24,14 +24,12 @@
 from auburncart.exception import (
     UpstreamError,
 )
-from auburncart.state import (
+from auburncart.state.failure import Failure, FailureCode, Step
+from auburncart.state.shards import Replica
+from auburncart.state.upstream import (
     Batch,
     BatchReply,
-    Failure,
-    FailureCode,
     OrderReply,
-    Replica,
-    Step,
     UpstreamCondition,
     UpstreamOrder,
 )
--- /dev/null
+++ b/auburncart/daemon/__main__.py
@@ -0,0 +1,32 @@
+"""Runs the daemon on the platform: ``python -m auburncart.daemon``.
+
+It loads none of the command line, for memory counts on an entry VM.
+"""
+
+import asyncio
+import os
+import sys
+from pathlib import Path
+
+from auburncart.daemon.forward import run_forward
+from auburncart.exception import SettingsError
+from auburncart.platform.settings import SETTINGS_VARIABLE, load_platform_settings
+from auburncart.transport.clock import SuspendAwareLoop
+
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> int:
+    """Run the daemon; return its exit code."""
+    try:
+        settings = load_platform_settings(Path(os.environ.get(SETTINGS_VARIABLE, "")))
+    except SettingsError as error:
+        sys.stderr.write("\n".join(error.faults) + "\n")
+        return EXIT_BAD_SETTINGS
+    with asyncio.Runner(loop_factory=SuspendAwareLoop) as runner:
+        runner.run(run_forward(settings))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/auburncart/daemon/entry.py
+++ b/auburncart/daemon/entry.py
@@ -15,7 +15,7 @@
 from auburncart.coordination.shutdown import Shutdown, ShutdownTimes
 from auburncart.daemon.peering import Peering
 from auburncart.settings.entry import EntrySettings
-from auburncart.state import Rank
+from auburncart.state.work import Rank
 from auburncart.transport.loop import LoopBridge
 from auburncart.transport.metrics import MetricsObserver
 from auburncart.transport.store import HttpStore
--- a/auburncart/daemon/peering.py
+++ b/auburncart/daemon/peering.py
@@ -14,7 +14,8 @@
 from auburncart.coordination.shared_rates import SharedRates
 from auburncart.coordination.table import TableKeeper
 from auburncart.settings.entry import EntrySettings
-from auburncart.state import Member, Seat
+from auburncart.state.member import Member
+from auburncart.state.seat import Seat
 from auburncart.transport.peer import WebSocketDialer, WebSocketListener
 
 __all__ = ["Peering"]
--- a/auburncart/exception.py
+++ b/auburncart/exception.py
@@ -3,6 +3,7 @@
 __all__ = [
     "AuburncartError",
     "BodySizeError",
+    "HistoryLostError",
     "InputError",
     "LinkError",
     "LinkTimeoutError",
@@ -109,6 +110,10 @@
         self.sent = sent
 
 
+class HistoryLostError(AuburncartError):
+    """The store no longer has the changes since a revision; the kind must be listed anew."""
+
+
 class StoreConflictError(AuburncartError):
     """A conditional write found another version than the one it named; it did not take effect."""
 
--- /dev/null
+++ b/auburncart/platform/documents.py
@@ -0,0 +1,126 @@
+"""Objects of the platform's store: the operator's configuration and replicas' entries."""
+
+from typing import Any
+
+import msgspec
+
+from auburncart.state.configuration import CallerLimits, Configuration, Route, Service, Target
+from auburncart.state.registration import Registration
+
+__all__ = ["decode_configuration", "decode_registration"]
+
+# Names of the wire are spelled as the platform spells them.
+
+
+class _TargetBody(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _RouteBody(msgspec.Struct):
+    name: str
+    host: str
+    pathPrefix: str  # noqa: N815
+    kind: str  # whether a request may run twice, not what it asks for
+    timeoutMs: float  # noqa: N815
+    sloMs: float  # noqa: N815
+    priority: int
+    maxAttempts: int  # noqa: N815
+    service: str | None = None
+    targets: list[_TargetBody] | None = None
+    gather: list[str] | None = None
+    topK: int = 0  # noqa: N815
+    minShare: float = 1.0  # noqa: N815
+
+
+class _ServiceBody(msgspec.Struct):
+    name: str
+    maxConns: int  # noqa: N815
+
+
+class _LimitsBody(msgspec.Struct):
+    maxHeaderBytes: int  # noqa: N815
+    maxBodyBytes: int  # noqa: N815
+    headerTimeoutMs: float  # noqa: N815
+    idleTimeoutMs: float  # noqa: N815
+
+
+class _ConfigurationBody(msgspec.Struct):
+    configVersion: int  # noqa: N815
+    routes: list[_RouteBody]
+    services: list[_ServiceBody]
+    limits: _LimitsBody
+
+
+class _ReplicaBody(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    coldLeftMs: float = 0.0  # noqa: N815
+    born: int = 0
+
+
+REPEATABLE = "idempotent"
+STATES = {"ready": False, "draining": True}
+
+
+def decode_configuration(spec: Any) -> Configuration:
+    """Return the configuration in an object's ``spec``.
+
+    :raises msgspec.ValidationError: a field is missing or has another type.
+    """
+    body = msgspec.convert(spec, type=_ConfigurationBody)
+    return Configuration(
+        body.configVersion,
+        tuple(_route(route) for route in body.routes),
+        {service.name: Service(service.name, service.maxConns) for service in body.services},
+        CallerLimits(
+            body.limits.maxHeaderBytes,
+            body.limits.maxBodyBytes,
+            body.limits.headerTimeoutMs / 1000.0,
+            body.limits.idleTimeoutMs / 1000.0,
+        ),
+    )
+
+
+def decode_registration(name: str, spec: Any) -> Registration:
+    """Return the replica that an entry names.
+
+    :raises msgspec.ValidationError: a field is missing, or has another type or an unknown state.
+    """
+    body = msgspec.convert(spec, type=_ReplicaBody)
+    if body.state not in STATES:
+        raise msgspec.ValidationError(f"unknown state {body.state!r}")
+    return Registration(
+        name,
+        body.service,
+        body.address,
+        body.zone,
+        body.slots,
+        STATES[body.state],
+        body.coldLeftMs / 1000.0,
+        body.born,
+    )
+
+
+def _route(body: _RouteBody) -> Route:
+    if body.targets:
+        targets = tuple(Target(target.service, target.weight) for target in body.targets)
+    else:
+        targets = (Target(body.service, 1.0),) if body.service else ()
+    return Route(
+        body.name,
+        body.host.lower(),
+        body.pathPrefix,
+        body.kind == REPEATABLE,
+        body.timeoutMs / 1000.0,
+        body.sloMs / 1000.0,
+        body.priority,
+        body.maxAttempts,
+        targets,
+        tuple(body.gather or ()),
+        body.topK,
+        body.minShare,
+    )
--- /dev/null
+++ b/auburncart/platform/settings.py
@@ -0,0 +1,74 @@
+"""The settings file that the platform lays for each process."""
+
+from pathlib import Path
+
+import msgspec
+
+from auburncart.exception import SettingsError
+from auburncart.settings.forward import ForwardSettings, TierBounds
+
+__all__ = ["SETTINGS_VARIABLE", "load_platform_settings"]
+
+SETTINGS_VARIABLE = "AUBURNCART_SETTINGS"
+
+
+class _Addresses(msgspec.Struct):
+    front: str
+    ready: str
+    control: str = ""
+
+
+class _Store(msgspec.Struct):
+    address: str
+
+
+class _Bounds(msgspec.Struct, frozen=True):
+    retryRatio: float = 0.2  # noqa: N815
+    retryWindowS: float = 10.0  # noqa: N815
+    retrySlack: float = 50.0  # noqa: N815
+    graceS: float = 6.0  # noqa: N815
+    drainMs: float = 3000.0  # noqa: N815
+
+
+class _Settings(msgspec.Struct):
+    nodeName: str  # noqa: N815
+    ipAddr: str  # noqa: N815
+    zone: str
+    region: str
+    zones: dict[str, str]
+    listenAddrs: _Addresses  # noqa: N815
+    platform: _Store
+    portRange: tuple[int, int] = (0, 0)  # noqa: N815
+    seedAddrs: list[str] = []  # noqa: N815
+    contractParams: _Bounds = _Bounds()  # noqa: N815
+
+
+def load_platform_settings(path: Path) -> ForwardSettings:
+    """Read and check the settings file.
+
+    :raises SettingsError: it cannot be read, or a field is missing or has another form.
+    """
+    try:
+        body = msgspec.json.decode(path.read_bytes(), type=_Settings)
+    except (OSError, msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        fault = f"{path}: {error}"
+        raise SettingsError(fault, faults=(fault,)) from error
+    bounds = body.contractParams
+    return ForwardSettings(
+        name=body.nodeName,
+        data_centre=body.zone,
+        region=body.region,
+        regions=body.zones,
+        front_address=body.listenAddrs.front,
+        ready_address=body.listenAddrs.ready,
+        store_address=body.platform.address,
+        peer_address=body.listenAddrs.control,
+        peer_seeds=tuple(body.seedAddrs),
+        grace_seconds=bounds.graceS,
+        bounds=TierBounds(
+            retry_ratio=bounds.retryRatio,
+            retry_window_seconds=bounds.retryWindowS,
+            retry_slack=bounds.retrySlack,
+            drain_seconds=bounds.drainMs / 1000.0,
+        ),
+    )
--- a/auburncart/protocol/caller.py
+++ b/auburncart/protocol/caller.py
@@ -28,14 +28,9 @@
 
 from auburncart.coordination.idempotency import canonical_key
 from auburncart.exception import InputError
-from auburncart.state import (
-    OrderAnswer,
-    OrderRequest,
-    Refusal,
-    RefusalCode,
-    SearchAnswer,
-    SearchRequest,
-)
+from auburncart.state.failure import Refusal, RefusalCode
+from auburncart.state.order import OrderAnswer, OrderRequest
+from auburncart.state.search import SearchAnswer, SearchRequest
 
 __all__ = [
     "MAX_BODY_BYTES",
--- a/auburncart/protocol/peer.py
+++ b/auburncart/protocol/peer.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from auburncart.exception import ProtocolError
-from auburncart.state import FACTS, MESSAGES, Answer, LinkMessage, Publication, Question
+from auburncart.state.fact import FACTS
+from auburncart.state.link import MESSAGES, Answer, LinkMessage, Publication, Question
 
 __all__ = ["MAX_GREETING_BYTES", "MAX_MESSAGE_BYTES", "decode_message", "encode_message"]
 
@@ -30,7 +31,7 @@
 def encode_message(message: LinkMessage) -> bytes:
     """Return the bytes of a message.
 
-    >>> from auburncart.state import Goodbye
+    >>> from auburncart.state.link import Goodbye
     >>> decode_message(encode_message(Goodbye("idle")))
     Goodbye(reason='idle')
     """
--- a/auburncart/protocol/platform.py
+++ b/auburncart/protocol/platform.py
@@ -12,20 +12,13 @@
 
 from auburncart.coordination.interfaces import Key
 from auburncart.exception import ProtocolError
-from auburncart.state import (
-    AuditArchive,
-    CentreStatus,
-    Claim,
-    ClaimBucket,
-    Condition,
-    Member,
-    Replica,
-    SeatPlans,
-    Shard,
-    ShardMap,
-    TableDocument,
-    UpstreamStatus,
-)
+from auburncart.state.leaving import UpstreamStatus
+from auburncart.state.member import Condition, Member
+from auburncart.state.order import Claim, ClaimBucket
+from auburncart.state.seat import SeatPlans
+from auburncart.state.shards import Replica, Shard, ShardMap
+from auburncart.state.status import CentreStatus
+from auburncart.state.table import AuditArchive, TableDocument
 
 __all__ = [
     "MAX_VALUE_BYTES",
--- a/auburncart/protocol/table_file.py
+++ b/auburncart/protocol/table_file.py
@@ -16,7 +16,8 @@
 from auburncart.coordination.audit import stored_size
 from auburncart.exception import SettingsError
 from auburncart.protocol.document import faults_of, parse_json, read_text
-from auburncart.state import AuditEntry, Rank, Row, Table
+from auburncart.state.table import AuditEntry, Row, Table
+from auburncart.state.work import Rank
 
 __all__ = [
     "RowFile",
--- a/auburncart/protocol/tests/test_fuzz.py
+++ b/auburncart/protocol/tests/test_fuzz.py
@@ -15,7 +15,9 @@
 from auburncart.protocol import caller, platform, upstream
 from auburncart.protocol.document import parse_document
 from auburncart.settings.entry import EntrySettings
-from auburncart.state import Batch, ClaimBucket, SubQuery, UpstreamOrder
+from auburncart.state.order import ClaimBucket
+from auburncart.state.search import SubQuery
+from auburncart.state.upstream import Batch, UpstreamOrder
 
 SUB = SubQuery("r1.1", "a", "s1", "k", "q", 1.0)
 BATCH = Batch("v-1", "s1", 1.0, (SUB,))
--- a/auburncart/protocol/tests/test_peer.py
+++ b/auburncart/protocol/tests/test_peer.py
@@ -8,28 +8,13 @@
 
 from auburncart.exception import ProtocolError
 from auburncart.protocol.peer import decode_message, encode_message
-from auburncart.state import (
-    FACTS,
-    MESSAGES,
-    Answer,
-    MapNews,
-    Member,
-    MemberNews,
-    Publication,
-    Rank,
-    Replica,
-    Roll,
-    Row,
-    Seat,
-    SeatNews,
-    SeatPlan,
-    SeatPlans,
-    Shard,
-    ShardMap,
-    Table,
-    TableDocument,
-    TableNews,
-)
+from auburncart.state.fact import FACTS, MapNews, MemberNews, Roll, SeatNews, TableNews
+from auburncart.state.link import MESSAGES, Answer, Publication
+from auburncart.state.member import Member
+from auburncart.state.seat import Seat, SeatPlan, SeatPlans
+from auburncart.state.shards import Replica, Shard, ShardMap
+from auburncart.state.table import Row, Table, TableDocument
+from auburncart.state.work import Rank
 
 ORIGIN = Member("10.0.0.1:7000", "dc1", 3)
 REPLICA = Replica("10.1.0.1:80", "dc1")
--- a/auburncart/protocol/tests/test_table_file.py
+++ b/auburncart/protocol/tests/test_table_file.py
@@ -2,7 +2,8 @@
 
 from auburncart.exception import SettingsError
 from auburncart.protocol.table_file import format_table, parse_table, table_of
-from auburncart.state import Rank, Row, Table
+from auburncart.state.table import Row, Table
+from auburncart.state.work import Rank
 
 TABLE = Table(
     7,
--- a/auburncart/protocol/upstream.py
+++ b/auburncart/protocol/upstream.py
@@ -20,15 +20,12 @@
 import msgspec
 
 from auburncart.exception import ProtocolError
-from auburncart.state import (
+from auburncart.state.failure import Failure, FailureCode, Step
+from auburncart.state.search import ShardAnswer, SubQuery
+from auburncart.state.upstream import (
     Batch,
     BatchReply,
-    Failure,
-    FailureCode,
     OrderReply,
-    ShardAnswer,
-    Step,
-    SubQuery,
     UpstreamCondition,
     UpstreamOrder,
 )
--- a/auburncart/scenario/pause.py
+++ b/auburncart/scenario/pause.py
@@ -11,7 +11,9 @@
     UpstreamConnection,
     UpstreamDialer,
 )
-from auburncart.state import Batch, BatchReply, Member, OrderReply, Replica, UpstreamOrder
+from auburncart.state.member import Member
+from auburncart.state.shards import Replica
+from auburncart.state.upstream import Batch, BatchReply, OrderReply, UpstreamOrder
 
 __all__ = ["Freezer", "FrozenDialer", "FrozenStore"]
 
--- a/auburncart/scenario/virtual.py
+++ b/auburncart/scenario/virtual.py
@@ -30,14 +30,12 @@
 from auburncart.standins.platform import PlatformModel, WriteFault
 from auburncart.standins.site import DEMO_TABLE, demo_hits, make_shard_map, publish
 from auburncart.standins.upstream import UpstreamModel, UpstreamShape
-from auburncart.state import (
-    Member,
-    OrderRequest,
-    SearchRequest,
-    ShardMap,
-    TableDocument,
-    UpstreamCondition,
-)
+from auburncart.state.member import Member
+from auburncart.state.order import OrderRequest
+from auburncart.state.search import SearchRequest
+from auburncart.state.shards import ShardMap
+from auburncart.state.table import TableDocument
+from auburncart.state.upstream import UpstreamCondition
 
 __all__ = ["VirtualWorld"]
 
--- a/auburncart/scenario/world.py
+++ b/auburncart/scenario/world.py
@@ -7,7 +7,9 @@
 
 from auburncart.coordination.idempotency import make_key
 from auburncart.scenario.language import Command
-from auburncart.state import OrderAnswer, Refusal, SearchAnswer
+from auburncart.state.failure import Refusal
+from auburncart.state.order import OrderAnswer
+from auburncart.state.search import SearchAnswer
 
 __all__ = [
     "Outcome",
--- a/auburncart/standins/fakes.py
+++ b/auburncart/standins/fakes.py
@@ -25,7 +25,9 @@
 from auburncart.protocol import platform as protocol
 from auburncart.standins.platform import PlatformModel, PlatformOutageError, TagMismatchError
 from auburncart.standins.upstream import UpstreamCrashError, UpstreamModel
-from auburncart.state import Batch, BatchReply, Member, OrderReply, Replica, UpstreamOrder
+from auburncart.state.member import Member
+from auburncart.state.shards import Replica
+from auburncart.state.upstream import Batch, BatchReply, OrderReply, UpstreamOrder
 
 __all__ = [
     "FakeBus",
--- a/auburncart/standins/fleet.py
+++ b/auburncart/standins/fleet.py
@@ -14,7 +14,8 @@
 from auburncart.protocol.peer import decode_message, encode_message
 from auburncart.standins.fakes import FakeStore
 from auburncart.standins.platform import PlatformModel
-from auburncart.state import LinkMessage, Member
+from auburncart.state.link import LinkMessage
+from auburncart.state.member import Member
 
 __all__ = ["MemoryNetwork", "Vm", "make_fleet"]
 
--- a/auburncart/standins/server.py
+++ b/auburncart/standins/server.py
@@ -17,7 +17,8 @@
     WriteFault,
 )
 from auburncart.standins.upstream import UpstreamCrashError, UpstreamModel
-from auburncart.state import Batch, BatchReply, SubQuery, UpstreamCondition, UpstreamOrder
+from auburncart.state.search import SubQuery
+from auburncart.state.upstream import Batch, BatchReply, UpstreamCondition, UpstreamOrder
 from auburncart.transport.cherry import make_application
 from auburncart.transport.loop import LoopBridge
 
--- a/auburncart/standins/site.py
+++ b/auburncart/standins/site.py
@@ -7,7 +7,9 @@
 from auburncart.protocol.platform import encode_value, object_path
 from auburncart.standins.platform import PlatformModel
 from auburncart.standins.upstream import UpstreamShape
-from auburncart.state import Rank, Replica, Row, Shard, ShardMap, Table, TableDocument
+from auburncart.state.shards import Replica, Shard, ShardMap
+from auburncart.state.table import Row, Table, TableDocument
+from auburncart.state.work import Rank
 
 __all__ = ["DEMO_TABLE", "demo_hits", "make_shard_map", "publish"]
 
--- a/auburncart/standins/upstream.py
+++ b/auburncart/standins/upstream.py
@@ -5,16 +5,12 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from auburncart.state import (
+from auburncart.state.failure import Failure, FailureCode, Step
+from auburncart.state.search import Hit, ShardAnswer, SubQuery
+from auburncart.state.upstream import (
     Batch,
     BatchReply,
-    Failure,
-    FailureCode,
-    Hit,
     OrderReply,
-    ShardAnswer,
-    Step,
-    SubQuery,
     UpstreamCondition,
     UpstreamOrder,
 )
--- a/auburncart/state/failure.py
+++ b/auburncart/state/failure.py
@@ -37,6 +37,7 @@
     CONFLICT = "conflict"
     EXPIRED = "expired"
     TOO_LARGE = "too_large"
+    NO_ROUTE = "no_route"
     OVERLOADED = "overloaded"
     UNAVAILABLE = "unavailable"
     TIMED_OUT = "timed_out"
--- a/auburncart/tests/site.py
+++ b/auburncart/tests/site.py
@@ -9,7 +9,7 @@
 from auburncart.standins.platform import PlatformModel
 from auburncart.standins.site import DEMO_TABLE, demo_hits, make_shard_map
 from auburncart.standins.upstream import UpstreamModel, UpstreamShape
-from auburncart.state import SearchRequest
+from auburncart.state.search import SearchRequest
 
 __all__ = ["Site", "search_request"]
 
--- a/auburncart/tests/steps.py
+++ b/auburncart/tests/steps.py
@@ -15,7 +15,9 @@
 )
 from auburncart.exception import LinkError, StoreUnavailableError, UpstreamError
 from auburncart.standins.fakes import FakeBus, FakeNetwork
-from auburncart.state import Batch, BatchReply, Member, OrderReply, Replica, UpstreamOrder
+from auburncart.state.member import Member
+from auburncart.state.shards import Replica
+from auburncart.state.upstream import Batch, BatchReply, OrderReply, UpstreamOrder
 
 __all__ = ["Fault", "SteppedBus", "SteppedDialer", "SteppedStore", "Steps"]
 
--- a/auburncart/tests/test_second_front_end.py
+++ b/auburncart/tests/test_second_front_end.py
@@ -3,7 +3,8 @@
 import asyncio
 import unittest
 
-from auburncart.state import Rank, SearchRequest
+from auburncart.state.search import SearchRequest
+from auburncart.state.work import Rank
 from auburncart.tests.site import Site
 from auburncart.tests.virtual import virtual_time
 
--- a/auburncart/transport/metrics.py
+++ b/auburncart/transport/metrics.py
@@ -5,7 +5,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from auburncart.coordination.observer import Observer
-from auburncart.state import Rank
+from auburncart.state.work import Rank
 
 __all__ = ["MetricsObserver"]
 
--- a/auburncart/transport/peer.py
+++ b/auburncart/transport/peer.py
@@ -13,7 +13,7 @@
 from auburncart.coordination.interfaces import PeerDialer, PeerLink
 from auburncart.exception import LinkError, ProtocolError
 from auburncart.protocol import peer as protocol
-from auburncart.state import LinkMessage
+from auburncart.state.link import LinkMessage
 
 __all__ = ["WebSocketDialer", "WebSocketLink", "WebSocketListener"]
 
--- a/auburncart/transport/tests/test_upstream.py
+++ b/auburncart/transport/tests/test_upstream.py
@@ -7,7 +7,9 @@
 from typing import Any
 
 from auburncart.exception import UpstreamError
-from auburncart.state import Batch, Replica, SubQuery, UpstreamOrder
+from auburncart.state.search import SubQuery
+from auburncart.state.shards import Replica
+from auburncart.state.upstream import Batch, UpstreamOrder
 from auburncart.transport.upstream import HttpUpstreamDialer
 
 LONG_SECONDS = 20.0
--- a/auburncart/transport/tests/test_web.py
+++ b/auburncart/transport/tests/test_web.py
@@ -15,7 +15,10 @@
 from auburncart.coordination.shutdown import Drain
 from auburncart.coordination.table import TableKeeper
 from auburncart.standins.site import DEMO_TABLE
-from auburncart.state import Coverage, OrderAnswer, Ran, Rank, SearchAnswer
+from auburncart.state.failure import Ran
+from auburncart.state.order import OrderAnswer
+from auburncart.state.search import Coverage, SearchAnswer
+from auburncart.state.work import Rank
 from auburncart.transport.loop import LoopBridge
 from auburncart.transport.metrics import MetricsObserver
 from auburncart.transport.web import CallerApplication, CallerServer
--- a/auburncart/transport/upstream.py
+++ b/auburncart/transport/upstream.py
@@ -14,7 +14,8 @@
     UpstreamTimeoutError,
 )
 from auburncart.protocol import upstream as protocol
-from auburncart.state import Batch, BatchReply, OrderReply, Replica, UpstreamOrder
+from auburncart.state.shards import Replica
+from auburncart.state.upstream import Batch, BatchReply, OrderReply, UpstreamOrder
 from auburncart.transport.http import HttpConnection
 
 __all__ = ["HttpUpstreamConnection", "HttpUpstreamDialer"]
--- a/auburncart/transport/web.py
+++ b/auburncart/transport/web.py
@@ -15,16 +15,9 @@
 from auburncart.coordination.shutdown import Drain, FrontEnd
 from auburncart.exception import BodySizeError, InputError
 from auburncart.protocol import caller as protocol
-from auburncart.state import (
-    OrderAnswer,
-    OrderRequest,
-    Ran,
-    Refusal,
-    RefusalCode,
-    SearchAnswer,
-    SearchRequest,
-    Step,
-)
+from auburncart.state.failure import Ran, Refusal, RefusalCode, Step
+from auburncart.state.order import OrderAnswer, OrderRequest
+from auburncart.state.search import SearchAnswer, SearchRequest
 from auburncart.transport.cherry import make_application
 from auburncart.transport.loop import LoopBridge
 from auburncart.transport.metrics import MetricsObserver
