A replica whose address another one has taken is never asked again

Change: such a refusal retires the replica until its entry changes, with a line in the log. Second, found on the way: a restarted process had its share of the budget's slack at once, though the process before it might just have spent it; it has none before a window has passed.

--- a/auburncart/coordination/forwarding/attempts.py
+++ b/auburncart/coordination/forwarding/attempts.py
@@ -181,10 +181,13 @@
         assert job.pool is not None
         address = job.pool.registration.address
         if reply.not_run:
-            moved = reply.status == 421
-            job.pool.record_failure(at_once=moved)
-            code = FailureCode.MOVED if moved else FailureCode.SHED
-            return Failure(Step.REPLY, address, f"status {reply.status}, not run", code, True)
+            if reply.moved:
+                self._tools.directory.disown(job.pool, reply.instance)
+                reason = f"the address now belongs to {reply.instance or 'another replica'}"
+                return Failure(Step.REPLY, address, reason, FailureCode.MOVED, True)
+            job.pool.record_failure()
+            reason = f"status {reply.status}, not run"
+            return Failure(Step.REPLY, address, reason, FailureCode.SHED, True)
         self._last_reply = reply
         job.pool.record_failure()
         return Failure(Step.REPLY, address, f"status {reply.status}", FailureCode.REFUSED, True)
--- a/auburncart/coordination/forwarding/budget.py
+++ b/auburncart/coordination/forwarding/budget.py
@@ -41,6 +41,7 @@
         self._bounds = bounds
         self._vms = vms
         self._services: dict[str, deque[_Bucket]] = {}
+        self._started_at = asyncio.get_running_loop().time()
 
     def record_request(self, service: str) -> None:
         """Count a caller's request for a service."""
@@ -51,8 +52,7 @@
         buckets = self._recent(service)
         requests = sum(bucket.requests for bucket in buckets)
         extras = sum(bucket.extras for bucket in buckets)
-        slack = self._bounds.slack / max(1, self._vms())
-        return SAFETY * (self._bounds.ratio * requests + slack) - extras
+        return SAFETY * (self._bounds.ratio * requests + self._slack()) - extras
 
     def spend(self, service: str, *, reserve: float = 0.0) -> bool:
         """Count an extra request if the budget allows it.
@@ -64,6 +64,11 @@
         self._add(service, 0, 1)
         return True
 
+    def _slack(self) -> float:
+        """Return this VM's slack; the process before this one may just have spent it."""
+        uptime = asyncio.get_running_loop().time() - self._started_at
+        return self._bounds.slack / max(1, self._vms()) if uptime >= self._bounds.window else 0.0
+
     def _add(self, service: str, requests: int, extras: int) -> None:
         buckets = self._recent(service)
         now = asyncio.get_running_loop().time()
--- a/auburncart/coordination/forwarding/directory.py
+++ b/auburncart/coordination/forwarding/directory.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable, Iterable
 
 from auburncart.coordination.forwarding.interfaces import ReplicaDialer
+from auburncart.coordination.forwarding.journal import Journal
 from auburncart.coordination.forwarding.replica import ReplicaPool
+from auburncart.state.event import ReplicasChanged
 from auburncart.state.registration import Registration
 
 __all__ = ["Directory"]
@@ -19,6 +21,7 @@
     :param distance: returns how far a data centre is: 0 here, 1 in this region, 2 elsewhere.
     :param dialer: opens connections to replicas.
     :param share: returns the connections that this VM may hold to a replica of a service.
+    :param journal: told of every change.
     """
 
     def __init__(
@@ -26,10 +29,12 @@
         distance: Callable[[str], int],
         dialer: ReplicaDialer,
         share: Callable[[str], int],
+        journal: Journal,
     ) -> None:
         self._distance = distance
         self._dialer = dialer
         self._share = share
+        self._journal = journal
         self._pools: dict[str, ReplicaPool] = {}
         self._services: dict[str, list[ReplicaPool]] = {}
         self._lapsed: dict[str, float] = {}
@@ -66,12 +71,13 @@
         self._lapsed.pop(entry.instance, None)
         pool = self._pools.get(entry.instance)
         if pool is not None and _same_process(pool.registration, entry):
-            pool.registration = entry
-            if entry.draining:
+            if entry.draining and not pool.registration.draining:
+                self._record(entry, "draining")
                 pool.retire()
+            pool.registration = entry
             return
         if pool is not None:
-            self._drop(entry.instance)
+            self._drop(entry.instance, "restarted")
         pool = ReplicaPool(
             entry,
             self._distance(entry.data_centre),
@@ -80,6 +86,7 @@
         )
         self._pools[entry.instance] = pool
         self._services.setdefault(entry.service, []).append(pool)
+        self._record(entry, "draining" if entry.draining else "added")
         if entry.draining:
             pool.retire()
 
@@ -90,7 +97,16 @@
         if _now() < self._lenient_until:
             self._lapsed[instance] = self._lenient_until
             return
-        self._drop(instance)
+        self._drop(instance, "gone")
+
+    def disown(self, pool: ReplicaPool, owner: str) -> None:
+        """Never ask a replica again whose address belongs to another one now.
+
+        :param owner: identifier of the replica that answers there.
+        """
+        if pool.usable:
+            self._record(pool.registration, f"address taken by {owner or 'another replica'}")
+            pool.retire()
 
     async def run(self) -> None:
         """Drop lapsed entries when their time is up, and close idle connections."""
@@ -99,7 +115,7 @@
             now = _now()
             for instance in [name for name, until in self._lapsed.items() if now >= until]:
                 del self._lapsed[instance]
-                self._drop(instance)
+                self._drop(instance, "lapsed")
             for pool in self._pools.values():
                 pool.trim()
 
@@ -113,10 +129,17 @@
         for pool in self._pools.values():
             pool.close()
 
-    def _drop(self, instance: str) -> None:
+    def _drop(self, instance: str, change: str) -> None:
         pool = self._pools.pop(instance)
         self._services[pool.registration.service].remove(pool)
         pool.retire()
+        self._record(pool.registration, change)
+
+    def _record(self, entry: Registration, change: str) -> None:
+        event = ReplicasChanged(
+            entry.instance, entry.service, entry.address, change, len(self._pools)
+        )
+        self._journal.record(event)
 
 
 def _same_process(one: Registration, other: Registration) -> bool:
--- /dev/null
+++ b/auburncart/coordination/forwarding/tests/rig.py
@@ -0,0 +1,83 @@
+"""A gateway over stand-in replicas, for tests on virtual time."""
+
+import asyncio
+
+from auburncart.coordination.forwarding.attempts import Tools
+from auburncart.coordination.forwarding.budget import BudgetBounds, RetryBudget
+from auburncart.coordination.forwarding.choice import LeastWait
+from auburncart.coordination.forwarding.configuration import ConfigurationKeeper
+from auburncart.coordination.forwarding.directory import Directory
+from auburncart.coordination.forwarding.gateway import Gateway
+from auburncart.coordination.forwarding.journal import Journal
+from auburncart.coordination.shutdown import Drain
+from auburncart.standins.replicas import FakeReplicas, ReplicaModel
+from auburncart.state.configuration import CallerLimits, Configuration, Route, Service, Target
+from auburncart.state.event import Event
+from auburncart.state.forward import ForwardRequest
+from auburncart.state.registration import Registration
+
+__all__ = ["ListJournal", "Rig", "one_service", "request", "search"]
+
+
+class ListJournal(Journal):
+    """Keeps every event."""
+
+    def __init__(self) -> None:
+        self.events: list[Event] = []
+
+    def record(self, event: Event) -> None:
+        self.events.append(event)
+
+    def of(self, kind: type) -> list:
+        return [event for event in self.events if isinstance(event, kind)]
+
+
+class Rig:
+    """One VM's gateway; replicas are named ``SERVICE/NUMBER``."""
+
+    def __init__(self, route: Route, connections: int = 4) -> None:
+        self.journal = ListJournal()
+        self.replicas = FakeReplicas()
+        self.directory = Directory(
+            lambda data_centre: 0, self.replicas, lambda service: connections, self.journal
+        )
+        self.keeper = ConfigurationKeeper(self.journal)
+        names = [target.service for target in route.targets] + list(route.shards)
+        services = {name: Service(name, 26) for name in names}
+        self.keeper.install(Configuration(1, (route,), services, CallerLimits()))
+        self.budget = RetryBudget(BudgetBounds(), lambda: 1)
+        tools = Tools(self.directory, LeastWait(), self.budget, self.journal)
+        self.gateway = Gateway(self.keeper, tools, Drain(lambda: True), lambda: 0.0)
+
+    def add(self, service: str, number: int, model: ReplicaModel | None = None) -> ReplicaModel:
+        """Put a replica up and list it."""
+        instance = f"{service}/{number}"
+        model = self.replicas.add(instance, model)
+        self.directory.install(registration(service, number))
+        return model
+
+    def reached(self, instance: str) -> int:
+        """Number of requests that reached a replica."""
+        return sum(arrival.instance == instance for arrival in self.replicas.arrivals)
+
+
+def registration(service: str, number: int, *, draining: bool = False) -> Registration:
+    address = f"127.0.0.1:{1000 + number}"
+    return Registration(f"{service}/{number}", service, address, "dc1", 2, draining)
+
+
+def one_service(*, idempotent: bool = True, attempts: int = 2) -> Route:
+    """A route to one service ``s``."""
+    targets = (Target("s", 1.0),)
+    return Route("r", "h", "/a/", idempotent, 2.0, 0.2, 0, attempts, targets)
+
+
+def search(shards: int, least_share: float = 0.75) -> Route:
+    """A route that asks all of ``s0``, ``s1`` and so on."""
+    names = tuple(f"s{number}" for number in range(shards))
+    return Route("r", "h", "/a/", True, 2.0, 0.1, 0, 2, (), names, 5, least_share)
+
+
+def request(number: int = 1, *, seconds: float = 1.0) -> ForwardRequest:
+    now = asyncio.get_running_loop().time()
+    return ForwardRequest(f"id{number}", "GET", "h", "/a/b", b"/a/b", (), b"", now, now + seconds)
--- /dev/null
+++ b/auburncart/coordination/forwarding/tests/test_budget.py
@@ -0,0 +1,46 @@
+import asyncio
+import unittest
+
+from auburncart.coordination.forwarding.budget import BudgetBounds, RetryBudget
+from auburncart.tests.virtual import virtual_time
+
+BOUNDS = BudgetBounds(ratio=0.2, slack=58.0, window=10.0)
+
+
+def spend_all(budget: RetryBudget) -> int:
+    count = 0
+    while budget.spend("s"):
+        count += 1
+    return count
+
+
+class BudgetTest(unittest.TestCase):
+    @virtual_time
+    async def test_all_vms_together_stay_within_the_bounds_of_the_tier(self) -> None:
+        budgets = [RetryBudget(BOUNDS, lambda: 9) for _ in range(9)]
+        await asyncio.sleep(BOUNDS.window)
+        for budget in budgets:
+            for _ in range(50):
+                budget.record_request("s")
+        spent = sum(spend_all(budget) for budget in budgets)
+        self.assertGreater(spent, 80)
+        self.assertLessEqual(spent, 0.2 * 450 + 58)
+
+    @virtual_time
+    async def test_a_process_that_starts_anew_has_no_slack_before_a_window_has_passed(self) -> None:
+        first = RetryBudget(BOUNDS, lambda: 9)
+        await asyncio.sleep(BOUNDS.window)
+        self.assertGreater(spend_all(first), 0)
+        second = RetryBudget(BOUNDS, lambda: 9)
+        await asyncio.sleep(0.9 * BOUNDS.window)
+        self.assertEqual(spend_all(second), 0)
+
+    @virtual_time
+    async def test_extras_are_forgotten_no_earlier_than_after_the_window(self) -> None:
+        budget = RetryBudget(BOUNDS, lambda: 9)
+        await asyncio.sleep(BOUNDS.window)
+        spent = spend_all(budget)
+        await asyncio.sleep(0.99 * BOUNDS.window)
+        self.assertEqual(spend_all(budget), 0)
+        await asyncio.sleep(0.2 * BOUNDS.window)
+        self.assertEqual(spend_all(budget), spent)
--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -44,7 +44,10 @@
         self._store = HttpKindStore(settings.store_address, PlatformKindDialect())
         self._keeper = ConfigurationKeeper(self._journal)
         self._directory = Directory(
-            settings.distance, LoopReplicaDialer(PlatformReplicaDialect()), self._share
+            settings.distance,
+            LoopReplicaDialer(PlatformReplicaDialect()),
+            self._share,
+            self._journal,
         )
         self._replicas = ReplicaSink(self._directory)
         bounds = settings.bounds
--- a/auburncart/platform/messages.py
+++ b/auburncart/platform/messages.py
@@ -129,6 +129,7 @@
             reply.body,
             known.get(STAMP, b""),
             not_run,
+            reply.status == FOREIGN,
             known.get(REPLY_INSTANCE, b"").decode("latin-1"),
         )
 
--- /dev/null
+++ b/auburncart/standins/replicas.py
@@ -0,0 +1,124 @@
+"""Stand-in for replicas behind their connections, on the loop's clock, with failures on command."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from auburncart.coordination.forwarding.interfaces import ReplicaConnection, ReplicaDialer
+from auburncart.exception import UpstreamError
+from auburncart.state.forward import ForwardRequest, Reply
+from auburncart.state.registration import Registration
+
+__all__ = ["Arrival", "FakeReplicas", "ReplicaModel", "ok", "shed", "taken"]
+
+
+class Arrival(NamedTuple):
+    """A request that reached a replica.
+
+    :param at: loop time in seconds.
+    """
+
+    at: float
+    instance: str
+    request: ForwardRequest
+
+
+class ReplicaModel:
+    """One replica: how long it works and what it answers.
+
+    :param seconds: time of one request.
+    :param reply: returns the reply to a request; None breaks the connection instead.
+    """
+
+    def __init__(
+        self, seconds: float = 0.01, reply: Callable[[ForwardRequest], Reply | None] | None = None
+    ) -> None:
+        self.seconds = seconds
+        self.reply = reply or ok
+        self.reachable = True
+        self.running = 0
+        self.ran = 0
+
+
+class FakeReplicas(ReplicaDialer):
+    """Replicas by instance; ``arrivals`` lists every request that reached one."""
+
+    def __init__(self) -> None:
+        self.models: dict[str, ReplicaModel] = {}
+        self.arrivals: list[Arrival] = []
+        self.opened = 0
+
+    def add(self, instance: str, model: ReplicaModel | None = None) -> ReplicaModel:
+        """Put a replica up."""
+        return self.models.setdefault(instance, model or ReplicaModel())
+
+    async def connect(self, registration: Registration) -> ReplicaConnection:
+        """Open a connection."""
+        await asyncio.sleep(0.001)
+        model = self.models.get(registration.instance)
+        if model is None or not model.reachable:
+            raise UpstreamError("refused", step="connect", peer=registration.address, sent=False)
+        self.opened += 1
+        return _FakeConnection(self, registration, model)
+
+
+class _FakeConnection(ReplicaConnection):
+    def __init__(
+        self, replicas: FakeReplicas, registration: Registration, model: ReplicaModel
+    ) -> None:
+        self._replicas = replicas
+        self._registration = registration
+        self._model = model
+        self._closed = asyncio.Event()
+        self._busy = False
+
+    @property
+    def usable(self) -> bool:
+        """Whether it is open and idle."""
+        return not self._closed.is_set() and not self._busy
+
+    @property
+    def idle_limit(self) -> float:
+        """Seconds for which the replica keeps an idle connection."""
+        return 5.0
+
+    async def exchange(self, request: ForwardRequest, instance: str) -> Reply:
+        """Work on a request for a while; closing the connection ends the work."""
+        now = asyncio.get_running_loop().time()
+        self._replicas.arrivals.append(Arrival(now, instance, request))
+        self._busy = True
+        self._model.running += 1
+        try:
+            async with asyncio.timeout(self._model.seconds):
+                await self._closed.wait()
+        except TimeoutError:
+            reply = self._model.reply(request)
+        else:
+            reply = None
+        finally:
+            self._busy = False
+            self._model.running -= 1
+        if reply is None:
+            self.close()
+            raise UpstreamError("reset", step="reply", peer=self._registration.address)
+        self._model.ran += not reply.not_run
+        return reply
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._closed.set()
+
+
+def ok(request: ForwardRequest) -> Reply:
+    """Return a good reply whose body names the request."""
+    return Reply(200, b"OK", (), request.request_id.encode(), b"proof")
+
+
+def shed(request: ForwardRequest) -> Reply:
+    """Return the reply of a replica that is full."""
+    return Reply(503, b"", (), b"", not_run=True)
+
+
+def taken(request: ForwardRequest) -> Reply:
+    """Return the reply of a replica that has the address of another one."""
+    return Reply(421, b"", (), b"", not_run=True, moved=True, instance="other")
--- a/auburncart/state/forward.py
+++ b/auburncart/state/forward.py
@@ -45,7 +45,8 @@
     :param body: body as sent.
     :param stamp: the replica's proof that the answer is its own, ``b""`` if there is none.
     :param not_run: whether the replica says that it did not run the request.
-    :param instance: identifier of the replica that refused a request meant for another one.
+    :param moved: whether the address belongs to another replica than the one that was meant.
+    :param instance: identifier of that replica, ``""`` if it is not said.
     """
 
     status: int
@@ -54,6 +55,7 @@
     body: bytes
     stamp: bytes = b""
     not_run: bool = False
+    moved: bool = False
     instance: str = ""
 
     @property
