Metrics on an address of their own, auburncart explain, check of the platform's settings

Cause: on-call engineers have only logs and metrics; lines had no tool and nothing counted them. Change: ForwardMetrics counts the log's events with bounded labels (request kind, outcome, service, code), latency histograms, store calls, and values read at each scrape; explain prints one request's lines in order with the changes of belief between them. Ruled out: route names as labels, of which there may be thousands.

--- a/auburncart/command/check.py
+++ b/auburncart/command/check.py
@@ -4,6 +4,7 @@
 
 import pyjson5
 
+from auburncart.platform.settings import load_platform_settings
 from auburncart.protocol.table_file import read_table
 from auburncart.settings.entry import load_entry_settings
 
@@ -13,9 +14,12 @@
 def check(file: Path) -> int:
     """Check a settings file or a table and name each fault; exit code 2 if there is any.
 
-    :param file: the file; one with ``rows`` or of CSV is taken for a table, any other for settings.
+    :param file: the file; one with ``rows`` or of CSV is taken for a table, one that the platform
+        lays for a process for its settings, any other for settings of our own.
     """
-    if _is_table(file):
+    if _has(file, "listenAddrs"):
+        load_platform_settings(file)
+    elif _is_table(file):
         read_table(file)
     else:
         load_entry_settings(file)
@@ -24,10 +28,12 @@
 
 
 def _is_table(file: Path) -> bool:
-    if file.suffix.lower() == ".csv":
-        return True
+    return file.suffix.lower() == ".csv" or _has(file, "rows")
+
+
+def _has(file: Path, name: str) -> bool:
     try:
         fields = pyjson5.loads(file.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError, pyjson5.Json5Exception):
         return False
-    return isinstance(fields, dict) and "rows" in fields
+    return isinstance(fields, dict) and name in fields
--- a/auburncart/command/main.py
+++ b/auburncart/command/main.py
@@ -32,6 +32,11 @@
     "auburncart.command.demo:demo", name="demo", help="Run the main job in one process on loopback."
 )
 app.command("auburncart.command.entry:entry", name="entry", help="Run the daemon on an entry VM.")
+app.command(
+    "auburncart.command.explain:explain",
+    name="explain",
+    help="Print what a log says of one request, in order.",
+)
 app.command(
     "auburncart.command.request:order",
     name="order",
--- a/auburncart/coordination/forwarding/gateway.py
+++ b/auburncart/coordination/forwarding/gateway.py
@@ -152,11 +152,13 @@
 
     def _record(self, request: ForwardRequest, route: Route | None, answer: ForwardAnswer) -> None:
         name = route.name if route else ""
+        kind = _kind_of(route)
         seconds = self._age(request)
         if isinstance(answer, Refusal):
             event = Refused(
                 request.request_id,
                 name,
+                kind,
                 answer.code.value,
                 f"{answer.step.value} {answer.peer}: {answer.reason}",
                 answer.ran.value,
@@ -170,8 +172,25 @@
         status = answer.reply.status if isinstance(answer, Passed) else 200
         cause = next((failure.reason for failure in missing.values()), "")
         self._tools.journal.record(
-            Answered(request.request_id, name, status, seconds, len(missing), tuple(missing), cause)
+            Answered(
+                request.request_id,
+                name,
+                kind,
+                status,
+                seconds,
+                len(missing),
+                tuple(missing),
+                cause,
+            )
         )
 
     def _age(self, request: ForwardRequest) -> float:
         return asyncio.get_running_loop().time() - request.arrived
+
+
+def _kind_of(route: Route | None) -> str:
+    if route is None:
+        return "none"
+    if route.shards:
+        return "search"
+    return "idempotent" if route.idempotent else "once"
--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -20,6 +20,7 @@
 from auburncart.settings.forward import ForwardSettings
 from auburncart.state.configuration import CallerLimits
 from auburncart.state.event import Started, Stopped
+from auburncart.transport.forward_metrics import ForwardMetrics
 from auburncart.transport.front import ForwardServer, ReadinessServer
 from auburncart.transport.journal import EliotJournal
 from auburncart.transport.kinds import HttpKindStore
@@ -29,6 +30,7 @@
 
 BALANCER_LAG_SECONDS = 2.2  # two questions a second apart take a VM out, and the way of the last
 STOP_MARGIN_SECONDS = 0.5  # before the process is killed: ends connections and writes the log
+METRICS_PATH = "/metrics"
 DEFAULT_VMS = 9  # that share budgets and connections, before the VMs know of each other
 
 
@@ -40,8 +42,11 @@
 
     def __init__(self, settings: ForwardSettings) -> None:
         self._settings = settings
-        self._journal = EliotJournal(sys.stdout.fileno())
-        self._store = HttpKindStore(settings.store_address, PlatformKindDialect())
+        self._log = EliotJournal(sys.stdout.fileno())
+        self._journal = ForwardMetrics(self._log)
+        self._store = HttpKindStore(
+            settings.store_address, PlatformKindDialect(), self._journal.store_called
+        )
         self._keeper = ConfigurationKeeper(self._journal)
         self._directory = Directory(
             settings.distance,
@@ -66,17 +71,24 @@
             settings.front_address, self._gateway, PlatformCallerDialect(), self._limits
         )
         self._readiness = ReadinessServer(settings.ready_address, lambda: self._gateway.ready, {})
+        self._metrics = ReadinessServer(
+            settings.metrics_address,
+            lambda: self._gateway.ready,
+            {METRICS_PATH: self._journal.page},
+        )
         self._tasks: list[asyncio.Task[None]] = []
+        self._watch_values()
 
     async def start(self) -> None:
         """Follow the store and serve callers."""
         runs: tuple[Callable[[], object], ...] = (
-            self._journal.run,
+            self._log.run,
             self._directory.run,
             *(follower.run for follower in self._followers),
         )
         self._tasks += [asyncio.create_task(run()) for run in runs]  # type: ignore[arg-type]
         await self._readiness.start()
+        await self._metrics.start()
         await self._front.start()
         settings = self._settings
         self._journal.record(Started(settings.name, settings.data_centre, settings.front_address))
@@ -95,11 +107,31 @@
         """Stop serving at once, then end every connection."""
         await self._front.stop()
         await self._readiness.stop()
+        await self._metrics.stop()
         for task in self._tasks:
             task.cancel()
         self._directory.close()
         self._store.close()
-        self._journal.flush()
+        self._log.flush()
+
+    def _watch_values(self) -> None:
+        configuration, replicas = self._followers
+        watch = self._journal.watch
+        watch("configuration_version", "Version in force", lambda: float(self._keeper.version))
+        watch(
+            "configuration_age_seconds", "Since the store confirmed it", lambda: configuration.age
+        )
+        watch("replicas_age_seconds", "Since the store confirmed the list", lambda: replicas.age)
+        watch("replicas", "Replicas known", lambda: float(self._directory.size))
+        watch("ready", "Whether callers are asked for", lambda: float(self._gateway.ready))
+        watch("in_flight", "Requests being answered", lambda: float(self._drain.in_flight))
+        watch("caller_connections", "Open ones", lambda: float(len(self._front.connections)))
+        watch("log_lines_dropped", "Since the start", lambda: float(self._log.dropped_total))
+        watch(
+            "replica_connections",
+            "Open ones",
+            lambda: float(sum(pool.connections for pool in self._directory.pools)),
+        )
 
     def _follow(self, kind: str, sink: KindSink) -> KindFollower:
         rng = random.Random(f"{self._settings.name}/{kind}")
--- a/auburncart/platform/messages.py
+++ b/auburncart/platform/messages.py
@@ -58,7 +58,7 @@
         try:
             seconds = float(remaining) / 1000.0
             path = head.target.partition(b"?")[0].decode("ascii")
-            name = host.decode("ascii").lower().partition(":")[0]
+            host_name = host.decode("ascii").lower().partition(":")[0]
         except ValueError as error:
             raise InputError(f"unreadable head: {error}", step="parse", peer=caller) from error
         if not 0.0 <= seconds < 86_400.0 or not path.startswith("/"):
@@ -76,7 +76,7 @@
         return ForwardRequest(
             request_id.decode("latin-1"),
             head.method,
-            name,
+            host_name,
             path,
             head.target,
             ((b"Host", host), *fields),
--- a/auburncart/platform/settings.py
+++ b/auburncart/platform/settings.py
@@ -10,6 +10,7 @@
 __all__ = ["SETTINGS_VARIABLE", "load_platform_settings"]
 
 SETTINGS_VARIABLE = "AUBURNCART_SETTINGS"
+METRICS_PORT = 9464  # as deploy/system.toml names it; the usual one of exporters in this format
 
 
 class _Addresses(msgspec.Struct):
@@ -62,6 +63,7 @@
         front_address=body.listenAddrs.front,
         ready_address=body.listenAddrs.ready,
         store_address=body.platform.address,
+        metrics_address=f"{body.ipAddr}:{METRICS_PORT}",
         peer_address=body.listenAddrs.control,
         peer_seeds=tuple(body.seedAddrs),
         grace_seconds=bounds.graceS,
--- a/auburncart/settings/forward.py
+++ b/auburncart/settings/forward.py
@@ -30,6 +30,7 @@
     :param front_address: ``"IP:port"`` for callers.
     :param ready_address: ``"IP:port"`` on which the balancer asks whether to send callers.
     :param store_address: ``"IP:port"`` of the platform's store.
+    :param metrics_address: ``"IP:port"`` on which metrics are read.
     :param peer_address: ``"IP:port"`` on which other VMs reach this one, ``""`` for none.
     :param peer_seeds: addresses of some other VMs.
     :param grace_seconds: time between SIGTERM and the end of the process.
@@ -43,6 +44,7 @@
     front_address: str
     ready_address: str
     store_address: str
+    metrics_address: str
     peer_address: str = ""
     peer_seeds: tuple[str, ...] = ()
     grace_seconds: float = 6.0
--- a/auburncart/state/event.py
+++ b/auburncart/state/event.py
@@ -76,6 +76,7 @@
 
     request: str
     route: str
+    kind: str
     status: int
     seconds: float
     missing: int
@@ -88,6 +89,7 @@
 
     request: str
     route: str
+    kind: str
     code: str
     reason: str
     ran: str
--- a/auburncart/transport/client.py
+++ b/auburncart/transport/client.py
@@ -55,6 +55,9 @@
     :param most_bytes: longest body taken.
     """
 
+    _complete: bool  # whether the reply at work has arrived as a whole
+    _unframed: bool  # whether its body ends with the connection
+
     def __init__(self, address: str, most_bytes: int) -> None:
         self._address = address
         self._most_bytes = most_bytes
--- a/auburncart/transport/front.py
+++ b/auburncart/transport/front.py
@@ -93,6 +93,8 @@
 class _CallerConnection(asyncio.Protocol):
     """One caller's connection: requests are answered one after the other, in their order."""
 
+    _began: float  # loop time in seconds at which the request at work began, 0 if there is none
+
     def __init__(self, server: ForwardServer) -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
--- a/auburncart/transport/kinds.py
+++ b/auburncart/transport/kinds.py
@@ -1,5 +1,6 @@
 """The platform's store by HTTP, with its objects listed and watched by kind."""
 
+from collections.abc import Callable
 from typing import Any
 
 from auburncart.coordination.forwarding.kinds import Changes, KindStore, Page
@@ -21,15 +22,19 @@
 
     :param address: ``"IP:port"`` of the store.
     :param dialect: paths and bodies of the calls.
+    :param on_call: told of each call's kind of object and result, for metrics.
     """
 
-    def __init__(self, address: str, dialect: KindDialect) -> None:
+    def __init__(
+        self, address: str, dialect: KindDialect, on_call: Callable[[str, str], None]
+    ) -> None:
         self._client = StoreClient(address, MOST_REPLY_BYTES)
         self._dialect = dialect
+        self._on_call = on_call
 
     async def list(self, kind: str, after: str = "", *, stale: bool = False) -> Page:
         """Return the objects of a kind whose names follow ``after``."""
-        reply = await self._call(self._dialect.list_call(kind, after, stale))
+        reply = await self._call(kind, self._dialect.list_call(kind, after, stale))
         try:
             return self._dialect.page(kind, self._found(reply))
         except ProtocolError as error:
@@ -37,7 +42,7 @@
 
     async def changes(self, kind: str, revision: int, wait: float) -> Changes:
         """Wait until objects of a kind change."""
-        reply = await self._call(self._dialect.changes_call(kind, revision, wait), wait)
+        reply = await self._call(kind, self._dialect.changes_call(kind, revision, wait), wait)
         if reply.status == HISTORY_LOST:
             raise HistoryLostError(f"no changes of {kind} since {revision}", step="store")
         try:
@@ -47,14 +52,14 @@
 
     async def put(self, kind: str, name: str, value: Any) -> None:
         """Write an object, whether it exists or not."""
-        reply = await self._call(self._dialect.create_call(kind, name, value))
+        reply = await self._call(kind, self._dialect.create_call(kind, name, value))
         if reply.status == EXISTS:
-            reply = await self._call(self._dialect.replace_call(kind, name, value))
+            reply = await self._call(kind, self._dialect.replace_call(kind, name, value))
         self._found(reply)
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object; one that does not exist is no error."""
-        reply = await self._call(self._dialect.delete_call(kind, name))
+        reply = await self._call(kind, self._dialect.delete_call(kind, name))
         if reply.status != ABSENT:
             self._found(reply)
 
@@ -62,8 +67,14 @@
         """Close the kept connections."""
         self._client.close()
 
-    async def _call(self, call: KindCall, wait: float = 0.0) -> RawReply:
-        return await self._client.call(StoreCall(call.method, call.path, (), call.body), wait)
+    async def _call(self, kind: str, call: KindCall, wait: float = 0.0) -> RawReply:
+        try:
+            reply = await self._client.call(StoreCall(call.method, call.path, (), call.body), wait)
+        except StoreUnavailableError:
+            self._on_call(kind, "no reply")
+            raise
+        self._on_call(kind, str(reply.status))
+        return reply
 
     def _found(self, reply: RawReply) -> bytes:
         if not 200 <= reply.status < 300:
