Two VMs of a data centre read the store for the others, once the tier is large

Change: VMs register in the store and list each other with stale reads (a tenth of a call); from 16 VMs on, two of each data centre watch, the others ask them over websockets with CBOR by the same list-and-watch questions, go to the second and then to the store when one gives no answer or is not fresh itself, and the library for that is loaded only then. Changes that follow each other within 0.4 s join into one call; a watch lasts 5 s instead of 25, so that a store that is silent to one VM is noticed. Budgets and connections are divided by the VMs listed instead of nine. Ruled out: longer pauses between watches alone (bounded by 3 s, saves a third).

--- a/auburncart/command/check.py
+++ b/auburncart/command/check.py
@@ -4,7 +4,7 @@
 
 import pyjson5
 
-from auburncart.platform.settings import load_platform_settings
+from auburncart.daemon.check import check_platform_settings
 from auburncart.protocol.table_file import read_table
 from auburncart.settings.entry import load_entry_settings
 
@@ -18,7 +18,7 @@
         lays for a process for its settings, any other for settings of our own.
     """
     if _has(file, "listenAddrs"):
-        load_platform_settings(file)
+        check_platform_settings(file)
     elif _is_table(file):
         read_table(file)
     else:
--- a/auburncart/coordination/forwarding/kinds.py
+++ b/auburncart/coordination/forwarding/kinds.py
@@ -3,16 +3,20 @@
 import asyncio
 import random
 from abc import ABC, abstractmethod
+from collections import deque
 from typing import Any, NamedTuple
 
 from auburncart.coordination.backoff import Backoff
 from auburncart.coordination.forwarding.journal import Journal
-from auburncart.exception import AuburncartError, HistoryLostError
+from auburncart.exception import AuburncartError, HistoryLostError, StoreUnavailableError
 from auburncart.state.event import DependencyLost, DependencyRegained, EntryUnreadable
 
 __all__ = ["Changes", "Entry", "KindFollower", "KindSink", "KindStore", "Page"]
 
-WATCH_SECONDS = 25.0  # below the 30 s that the store holds a watch; probes find a silent link
+WATCH_SECONDS = 5.0  # a store that is silent to this VM alone is found within one watch
+COALESCE_SECONDS = 0.4  # joins changes that follow into one call; a tenth of the bounds
+MOST_HISTORY = 2000  # changes kept for other VMs, some storms of configurations and releases
+FRESH_SECONDS = 6.5  # one watch and its slack: beyond it other VMs must not rely on this one
 FIRST_BACKOFF_SECONDS = 0.1  # a store that is back must be seen within two seconds
 MOST_BACKOFF_SECONDS = 1.0
 
@@ -121,12 +125,44 @@
         self._revision: int | None = None
         self._lost_at: float | None = None
         self._confirmed_at = float("-inf")
+        self._entries: dict[str, Entry] = {}
+        self._history: deque[tuple[int, Entry]] = deque(maxlen=MOST_HISTORY)
+        self._oldest = 0
+        self._moved = asyncio.Event()
 
     @property
     def age(self) -> float:
         """Seconds since the store last said what it holds."""
         return asyncio.get_running_loop().time() - self._confirmed_at
 
+    @property
+    def fresh(self) -> bool:
+        """Whether other VMs may rely on what is known here."""
+        return self._lost_at is None and self.age <= FRESH_SECONDS
+
+    def page(self) -> Page:
+        """Return all that is known, for another VM."""
+        if self._revision is None:
+            raise StoreUnavailableError("not listed yet", step="relay", sent=False)
+        return Page(tuple(self._entries.values()), False, self._revision)
+
+    async def changes_since(self, revision: int, wait: float) -> Changes:
+        """Wait for changes after a revision, for another VM.
+
+        :raises HistoryLostError: changes since the revision are no longer known.
+        """
+        if revision < self._oldest:
+            raise HistoryLostError(f"no changes since {revision}", step="relay")
+        deadline = asyncio.get_running_loop().time() + wait
+        while (self._revision or 0) <= revision:
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await self._moved.wait()
+            except TimeoutError:
+                break
+        entries = tuple(entry for changed, entry in self._history if changed > revision)
+        return Changes(entries, max(revision, self._revision or 0))
+
     async def run(self) -> None:
         """Follow the kind; runs until cancelled."""
         while True:
@@ -143,16 +179,39 @@
             entries, revision = await self._list_all()
             self._regain()
             self._sink.replace(self._readable(entries))
-            self._revision = revision
+            self._entries = {entry.name: entry for entry in entries}
+            self._history.clear()
+            self._oldest = revision
+            changed = False
         else:
             wait = WATCH_SECONDS if self._lost_at is None else 0.0
             changes = await self._store.changes(self._kind, self._revision, wait)
             self._regain()
+            revision = changes.revision
+            changed = bool(changes.entries)
             for entry in self._readable(changes.entries):
+                self._keep(revision, entry)
                 self._sink.change(entry)
-            self._revision = changes.revision
-        self._confirmed_at = asyncio.get_running_loop().time()
+        self._move_to(revision)
         self._sink.confirm()
+        if changed:
+            await asyncio.sleep(COALESCE_SECONDS)
+
+    def _keep(self, revision: int, entry: Entry) -> None:
+        """Keep a change for other VMs, which go on from the revision at which it was told."""
+        if len(self._history) == MOST_HISTORY:
+            self._oldest = self._history[0][0]
+        self._history.append((revision, entry))
+        if entry.value is None and not entry.fault:
+            self._entries.pop(entry.name, None)
+        else:
+            self._entries[entry.name] = entry
+
+    def _move_to(self, revision: int) -> None:
+        self._revision = revision
+        self._confirmed_at = asyncio.get_running_loop().time()
+        self._moved.set()
+        self._moved = asyncio.Event()
 
     async def _list_all(self) -> tuple[tuple[Entry, ...], int]:
         """Return all objects, and the revision of the first page: later changes come again."""
--- /dev/null
+++ b/auburncart/coordination/forwarding/relay.py
@@ -0,0 +1,129 @@
+"""Taking the store's changes from another VM, which reads them for all of a data centre."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Any
+
+from auburncart.coordination.forwarding.journal import Journal
+from auburncart.coordination.forwarding.kinds import Changes, KindFollower, KindStore, Page
+from auburncart.coordination.forwarding.roster import Roster
+from auburncart.exception import LinkError, StoreUnavailableError
+from auburncart.state.event import SourceChanged
+
+__all__ = ["RelayClient", "RelayServer", "RelayedStore"]
+
+DIRECT = "store"
+
+
+class RelayClient(ABC):
+    """Asks other VMs what they know of the store."""
+
+    @abstractmethod
+    async def list(self, address: str, kind: str) -> Page:
+        """Return all objects of a kind that a VM knows.
+
+        :raises LinkError: the VM gave no answer, or does not know the store's state itself.
+        """
+
+    @abstractmethod
+    async def changes(self, address: str, kind: str, revision: int, wait: float) -> Changes:
+        """Wait for changes at a VM.
+
+        :raises LinkError: the VM gave no answer, or does not know the store's state itself.
+        :raises HistoryLostError: it no longer knows the changes since the revision.
+        """
+
+
+class RelayServer:
+    """Answers other VMs from what this one follows.
+
+    :param followers: what is followed, by kind.
+    """
+
+    def __init__(self, followers: dict[str, KindFollower]) -> None:
+        self._followers = followers
+
+    def list(self, kind: str) -> Page:
+        """Return all objects of a kind."""
+        return self._follower(kind).page()
+
+    async def changes(self, kind: str, revision: int, wait: float) -> Changes:
+        """Wait for changes, and say so if what is known here has become old meanwhile."""
+        follower = self._follower(kind)
+        changes = await follower.changes_since(revision, wait)
+        self._follower(kind)
+        return changes
+
+    def _follower(self, kind: str) -> KindFollower:
+        follower = self._followers.get(kind)
+        if follower is None or not follower.fresh:
+            raise StoreUnavailableError(f"{kind} is not fresh here", step="relay", sent=False)
+        return follower
+
+
+class RelayedStore(KindStore):
+    """Lists and watches by way of another VM where there is one, else at the store itself.
+
+    :param store: the store.
+    :param make_client: returns what asks other VMs; called once there is one to ask.
+    :param roster: tells which VMs to ask.
+    :param journal: told when the source of a kind changes.
+    """
+
+    def __init__(
+        self,
+        store: KindStore,
+        make_client: Callable[[], RelayClient],
+        roster: Roster,
+        journal: Journal,
+    ) -> None:
+        self._store = store
+        self._make_client = make_client
+        self._client_made: RelayClient | None = None
+        self._roster = roster
+        self._journal = journal
+        self._sources: dict[str, str] = {}
+
+    async def list(self, kind: str, after: str = "", *, stale: bool = False) -> Page:
+        """Return the objects of a kind, all of them if another VM answers."""
+        await self._roster.wait()
+        for vm in self._roster.sources() if not after else ():
+            try:
+                page = await self._client.list(vm.address, kind)
+            except LinkError as error:
+                self._use(kind, DIRECT, str(error))
+                continue
+            self._use(kind, vm.name, "")
+            return page
+        return await self._store.list(kind, after, stale=stale)
+
+    async def changes(self, kind: str, revision: int, wait: float) -> Changes:
+        """Wait for changes at another VM, or at the store if none answers."""
+        for vm in self._roster.sources():
+            try:
+                changes = await self._client.changes(vm.address, kind, revision, wait)
+            except LinkError as error:
+                self._use(kind, DIRECT, str(error))
+                continue
+            self._use(kind, vm.name, "")
+            return changes
+        return await self._store.changes(kind, revision, wait)
+
+    async def put(self, kind: str, name: str, value: Any) -> None:
+        """Write an object at the store."""
+        await self._store.put(kind, name, value)
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Delete an object at the store."""
+        await self._store.delete(kind, name)
+
+    @property
+    def _client(self) -> RelayClient:
+        if self._client_made is None:
+            self._client_made = self._make_client()
+        return self._client_made
+
+    def _use(self, kind: str, source: str, reason: str) -> None:
+        if self._sources.get(kind, DIRECT) != source:
+            self._sources[kind] = source
+            self._journal.record(SourceChanged(kind, source, reason))
--- a/auburncart/daemon/__main__.py
+++ b/auburncart/daemon/__main__.py
@@ -24,8 +24,7 @@
         sys.stderr.write("\n".join(error.faults) + "\n")
         return EXIT_BAD_SETTINGS
     with asyncio.Runner(loop_factory=SuspendAwareLoop) as runner:
-        runner.run(run_forward(settings))
-    return 0
+        return runner.run(run_forward(settings))
 
 
 if __name__ == "__main__":
--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -4,7 +4,8 @@
 import random
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from auburncart.coordination.forwarding.attempts import Tools
 from auburncart.coordination.forwarding.budget import BudgetBounds, RetryBudget
@@ -13,13 +14,17 @@
 from auburncart.coordination.forwarding.directory import Directory
 from auburncart.coordination.forwarding.gateway import Gateway
 from auburncart.coordination.forwarding.kinds import KindFollower, KindSink
+from auburncart.coordination.forwarding.relay import RelayClient, RelayedStore, RelayServer
+from auburncart.coordination.forwarding.roster import Roster
 from auburncart.coordination.forwarding.sinks import ConfigurationSink, ReplicaSink
 from auburncart.coordination.shutdown import Drain, Shutdown, ShutdownTimes
 from auburncart.platform.messages import PlatformCallerDialect, PlatformReplicaDialect
 from auburncart.platform.store import CONFIGURATION, REPLICAS, PlatformKindDialect
 from auburncart.settings.forward import ForwardSettings
-from auburncart.state.configuration import CallerLimits
-from auburncart.state.event import Started, Stopped
+from auburncart.state.configuration import CallerLimits, Configuration
+from auburncart.state.entryvm import EntryVm
+from auburncart.state.event import Started, Stopped, TaskFailed
+from auburncart.state.registration import Registration
 from auburncart.transport.forward_metrics import ForwardMetrics
 from auburncart.transport.front import ForwardServer, ReadinessServer
 from auburncart.transport.journal import EliotJournal
@@ -30,8 +35,9 @@
 
 BALANCER_LAG_SECONDS = 2.2  # two questions a second apart take a VM out, and the way of the last
 STOP_MARGIN_SECONDS = 0.5  # before the process is killed: ends connections and writes the log
+EXIT_FAILED = 1
 METRICS_PATH = "/metrics"
-DEFAULT_VMS = 9  # that share budgets and connections, before the VMs know of each other
+KIND_TYPES: dict[str, type] = {CONFIGURATION: Configuration, REPLICAS: Registration}
 
 
 class ForwardDaemon:
@@ -42,6 +48,7 @@
 
     def __init__(self, settings: ForwardSettings) -> None:
         self._settings = settings
+        self.failed = asyncio.Event()
         self._log = EliotJournal(sys.stdout.fileno())
         self._journal = ForwardMetrics(self._log)
         self._store = HttpKindStore(
@@ -58,10 +65,13 @@
         bounds = settings.bounds
         budget = RetryBudget(
             BudgetBounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_seconds),
-            lambda: DEFAULT_VMS,
+            lambda: self._roster.vms,
         )
         self._drain = Drain(lambda: self._keeper.table is not None and self._replicas.listed)
         tools = Tools(self._directory, LeastWait(), budget, self._journal)
+        own = EntryVm(settings.name, settings.data_centre, settings.relay_address)
+        self._roster = Roster(self._store, own, self._journal, first_start=settings.first_start)
+        self._relayed = RelayedStore(self._store, _relay_client, self._roster, self._journal)
         self._followers = (
             self._follow(CONFIGURATION, ConfigurationSink(self._keeper)),
             self._follow(REPLICAS, self._replicas),
@@ -81,12 +91,17 @@
 
     async def start(self) -> None:
         """Follow the store and serve callers."""
-        runs: tuple[Callable[[], object], ...] = (
+        runs: tuple[Callable[[], Coroutine[Any, Any, None]], ...] = (
             self._log.run,
             self._directory.run,
+            self._roster.run,
+            self._serve_relay,
             *(follower.run for follower in self._followers),
         )
-        self._tasks += [asyncio.create_task(run()) for run in runs]  # type: ignore[arg-type]
+        for run in runs:
+            task = asyncio.create_task(run())
+            task.add_done_callback(self._note_end)
+            self._tasks.append(task)
         await self._readiness.start()
         await self._metrics.start()
         await self._front.start()
@@ -105,6 +120,7 @@
 
     async def stop(self) -> None:
         """Stop serving at once, then end every connection."""
+        await self._roster.leave()
         await self._front.stop()
         await self._readiness.stop()
         await self._metrics.stop()
@@ -114,6 +130,23 @@
         self._store.close()
         self._log.flush()
 
+    async def _serve_relay(self) -> None:
+        """Answer other VMs once the tier is so large that some read for the others."""
+        await self._roster.wait_until_large()
+        # Loaded only here: the library's memory counts on each VM of a small tier.
+        from auburncart.transport.relay import RelayListener
+
+        kinds = dict(zip(KIND_TYPES, self._followers, strict=True))
+        await RelayListener(self._settings.relay_address, RelayServer(kinds)).start()
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        """End the process if a task that runs for good has failed: started anew, it may go on."""
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        self._journal.record(TaskFailed(task.get_name(), f"{type(error).__name__}: {error}"))
+        self.failed.set()
+
     def _watch_values(self) -> None:
         configuration, replicas = self._followers
         watch = self._journal.watch
@@ -135,7 +168,7 @@
 
     def _follow(self, kind: str, sink: KindSink) -> KindFollower:
         rng = random.Random(f"{self._settings.name}/{kind}")
-        return KindFollower(self._store, kind, sink, self._journal, rng)
+        return KindFollower(self._relayed, kind, sink, self._journal, rng)
 
     def _limits(self) -> CallerLimits:
         table = self._keeper.table
@@ -144,11 +177,20 @@
     def _share(self, service: str) -> int:
         table = self._keeper.table
         known = table.configuration.services.get(service) if table else None
-        return max(1, known.most_connections // DEFAULT_VMS) if known else 1
+        return max(1, known.most_connections // self._roster.vms) if known else 1
+
 
+def _relay_client() -> RelayClient:
+    from auburncart.transport.relay import WebSocketRelayClient
 
-async def run_forward(settings: ForwardSettings) -> None:
-    """Run the daemon until it is told to stop by SIGTERM or SIGINT."""
+    return WebSocketRelayClient(KIND_TYPES)
+
+
+async def run_forward(settings: ForwardSettings) -> int:
+    """Run the daemon until it is told to stop by SIGTERM or SIGINT.
+
+    :return: exit code.
+    """
     daemon = ForwardDaemon(settings)
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -156,5 +198,12 @@
         loop.add_signal_handler(number, stopped.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
     await daemon.start()
-    await stopped.wait()
+    ends = [asyncio.create_task(event.wait()) for event in (stopped, daemon.failed)]
+    await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+    for task in ends:
+        task.cancel()
+    if daemon.failed.is_set():
+        await daemon.stop()
+        return EXIT_FAILED
     await daemon.shut_down()
+    return 0
--- a/auburncart/platform/settings.py
+++ b/auburncart/platform/settings.py
@@ -16,7 +16,6 @@
 class _Addresses(msgspec.Struct):
     front: str
     ready: str
-    control: str = ""
 
 
 class _Store(msgspec.Struct):
@@ -39,8 +38,8 @@
     zones: dict[str, str]
     listenAddrs: _Addresses  # noqa: N815
     platform: _Store
-    portRange: tuple[int, int] = (0, 0)  # noqa: N815
-    seedAddrs: list[str] = []  # noqa: N815
+    portRange: tuple[int, int]  # noqa: N815
+    bootstrap: bool = False  # only at the first start of all, not at every start of a process
     contractParams: _Bounds = _Bounds()  # noqa: N815
 
 
@@ -64,8 +63,8 @@
         ready_address=body.listenAddrs.ready,
         store_address=body.platform.address,
         metrics_address=f"{body.ipAddr}:{METRICS_PORT}",
-        peer_address=body.listenAddrs.control,
-        peer_seeds=tuple(body.seedAddrs),
+        relay_address=f"{body.ipAddr}:{body.portRange[0]}",
+        first_start=body.bootstrap,
         grace_seconds=bounds.graceS,
         bounds=TierBounds(
             retry_ratio=bounds.retryRatio,
--- a/auburncart/platform/store.py
+++ b/auburncart/platform/store.py
@@ -7,9 +7,11 @@
 import msgspec
 
 from auburncart.coordination.forwarding.kinds import Changes, Entry, Page
+from auburncart.coordination.forwarding.roster import ENTRY_VMS
 from auburncart.exception import ProtocolError
 from auburncart.platform.documents import decode_configuration, decode_registration
 from auburncart.protocol.kinds import KindCall, KindDialect
+from auburncart.state.entryvm import EntryVm
 
 __all__ = ["CONFIGURATION", "REPLICAS", "PlatformKindDialect"]
 
@@ -46,6 +48,7 @@
 DECODERS: dict[str, Callable[[str, Any], Any]] = {
     CONFIGURATION: lambda name, spec: decode_configuration(spec),
     REPLICAS: decode_registration,
+    ENTRY_VMS: lambda name, spec: EntryVm(name, spec["data_centre"], spec["address"]),
 }
 
 
@@ -107,6 +110,6 @@
     try:
         decoder = DECODERS.get(kind)
         value = decoder(held.meta.name, held.spec) if decoder else held.spec
-    except (msgspec.ValidationError, ValueError, TypeError) as error:
+    except (msgspec.ValidationError, KeyError, ValueError, TypeError) as error:
         return Entry(held.meta.name, None, held.meta.rev, str(error))
     return Entry(held.meta.name, value, held.meta.rev)
--- a/auburncart/settings/forward.py
+++ b/auburncart/settings/forward.py
@@ -31,8 +31,8 @@
     :param ready_address: ``"IP:port"`` on which the balancer asks whether to send callers.
     :param store_address: ``"IP:port"`` of the platform's store.
     :param metrics_address: ``"IP:port"`` on which metrics are read.
-    :param peer_address: ``"IP:port"`` on which other VMs reach this one, ``""`` for none.
-    :param peer_seeds: addresses of some other VMs.
+    :param relay_address: ``"IP:port"`` on which other VMs of the data centre reach this one.
+    :param first_start: whether all VMs of the tier start for the first time now.
     :param grace_seconds: time between SIGTERM and the end of the process.
     :param bounds: bounds that all VMs keep together.
     """
@@ -45,8 +45,8 @@
     ready_address: str
     store_address: str
     metrics_address: str
-    peer_address: str = ""
-    peer_seeds: tuple[str, ...] = ()
+    relay_address: str
+    first_start: bool = False
     grace_seconds: float = 6.0
     bounds: TierBounds = TierBounds()
 
--- /dev/null
+++ b/auburncart/state/entryvm.py
@@ -0,0 +1,18 @@
+"""Entry VMs as they register themselves in the platform's store."""
+
+from typing import NamedTuple
+
+__all__ = ["EntryVm"]
+
+
+class EntryVm(NamedTuple):
+    """One entry VM.
+
+    :param name: name of the VM, unique in the tier.
+    :param data_centre: data centre in which it runs.
+    :param address: ``"IP:port"`` on which it relays the store's changes to others.
+    """
+
+    name: str
+    data_centre: str
+    address: str
--- a/auburncart/state/event.py
+++ b/auburncart/state/event.py
@@ -19,10 +19,13 @@
     "ReplicasChanged",
     "Reloaded",
     "Retried",
+    "RosterChanged",
     "Routed",
+    "SourceChanged",
     "Started",
     "Stopped",
     "Suspended",
+    "TaskFailed",
     "TryFailed",
 ]
 
@@ -146,6 +149,22 @@
     seconds: float
 
 
+class RosterChanged(NamedTuple):
+    """The number of VMs that share the budgets changed."""
+
+    before: int
+    vms: int
+    readers: int
+
+
+class SourceChanged(NamedTuple):
+    """A kind of objects is taken from another VM, or from the store, from now on."""
+
+    kind: str
+    source: str
+    reason: str
+
+
 class ReadinessChanged(NamedTuple):
     """This VM began or ceased to ask for callers."""
 
@@ -174,6 +193,13 @@
     error: str
 
 
+class TaskFailed(NamedTuple):
+    """A task that runs for good has failed, so that the process ends."""
+
+    task: str
+    reason: str
+
+
 class Stopped(NamedTuple):
     """The process ends."""
 
@@ -194,9 +220,12 @@
     | EntryUnreadable
     | DependencyLost
     | DependencyRegained
+    | RosterChanged
+    | SourceChanged
     | ReadinessChanged
     | Suspended
     | Started
     | Reloaded
+    | TaskFailed
     | Stopped
 )
--- /dev/null
+++ b/auburncart/transport/relay.py
@@ -0,0 +1,133 @@
+"""Websockets between VMs, over which the store's changes are relayed."""
+
+import asyncio
+from typing import Any
+
+from websockets.asyncio.client import ClientConnection as WebSocket
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import ConnectionClosed, WebSocketException
+
+from auburncart.coordination.forwarding.kinds import Changes, Page
+from auburncart.coordination.forwarding.relay import RelayClient, RelayServer
+from auburncart.exception import (
+    HistoryLostError,
+    LinkError,
+    ProtocolError,
+    StoreUnavailableError,
+)
+from auburncart.protocol.relay import (
+    RelayAnswer,
+    RelayQuestion,
+    decode_answer,
+    decode_question,
+    encode_answer,
+    encode_failure,
+    encode_question,
+)
+from auburncart.transport.client import split_address
+
+__all__ = ["RelayListener", "WebSocketRelayClient"]
+
+CONNECT_SECONDS = 0.5  # within a data centre an answer takes a millisecond
+ANSWER_SECONDS = 1.0  # beyond the wait of a question; a VM that is stopped answers nothing
+MOST_BYTES = 8_000_000  # a list of all replicas at the target's size is about 3 MB
+
+
+class WebSocketRelayClient(RelayClient):
+    """Keeps one websocket for each kind and VM.
+
+    :param types: type of the objects of each kind.
+    """
+
+    def __init__(self, types: dict[str, type]) -> None:
+        self._types = types
+        self._sockets: dict[tuple[str, str], WebSocket] = {}
+
+    async def list(self, address: str, kind: str) -> Page:
+        """Return all objects of a kind that a VM knows."""
+        answer = await self._ask(address, RelayQuestion(kind, None, 0.0))
+        return Page(answer.entries, False, answer.revision)
+
+    async def changes(self, address: str, kind: str, revision: int, wait: float) -> Changes:
+        """Wait for changes at a VM."""
+        answer = await self._ask(address, RelayQuestion(kind, revision, wait))
+        return Changes(answer.entries, answer.revision)
+
+    async def close(self) -> None:
+        """Close all websockets."""
+        sockets, self._sockets = self._sockets, {}
+        for socket in sockets.values():
+            socket.transport.abort()
+
+    async def _ask(self, address: str, question: RelayQuestion) -> RelayAnswer:
+        key = (address, question.kind)
+        try:
+            socket = self._sockets.pop(key, None) or await self._open(address)
+            async with asyncio.timeout(question.wait + ANSWER_SECONDS):
+                await socket.send(encode_question(question))
+                data = await socket.recv(decode=False)
+        except (OSError, TimeoutError, WebSocketException) as error:
+            reason = f"{type(error).__name__}: {error}"
+            raise LinkError(reason, step="relay", peer=address) from error
+        self._sockets[key] = socket
+        try:
+            return decode_answer(self._types[question.kind], data, address)
+        except ProtocolError as error:
+            raise LinkError(error.reason, step="relay", peer=address) from error
+
+    async def _open(self, address: str) -> WebSocket:
+        return await connect(
+            f"ws://{address}/",
+            open_timeout=CONNECT_SECONDS,
+            ping_interval=None,
+            compression=None,
+            max_size=MOST_BYTES,
+            proxy=None,
+        )
+
+
+class RelayListener:
+    """Answers other VMs, with one task for each of their websockets.
+
+    :param address: ``"IP:port"`` to listen on.
+    :param server: what this VM knows.
+    """
+
+    def __init__(self, address: str, server: RelayServer) -> None:
+        self._address = address
+        self._server = server
+        self._listener: Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        host, port = split_address(self._address)
+        self._listener = await serve(
+            self._serve, host, port, ping_interval=None, compression=None, max_size=MOST_BYTES
+        )
+
+    async def stop(self) -> None:
+        """Stop listening and end all websockets."""
+        if self._listener is not None:
+            self._listener.close()
+
+    async def _serve(self, socket: ServerConnection) -> None:
+        """Answer one question after the other."""
+        try:
+            async for data in socket:
+                await socket.send(await self._answer(data))
+        except ConnectionClosed:
+            return  # the other VM asks elsewhere or has ended
+
+    async def _answer(self, data: Any) -> bytes:
+        try:
+            question = decode_question(data if isinstance(data, bytes) else data.encode())
+            if question.revision is None:
+                page = self._server.list(question.kind)
+                return encode_answer(RelayAnswer(page.revision, page.entries))
+            changes = await self._server.changes(question.kind, question.revision, question.wait)
+            return encode_answer(RelayAnswer(changes.revision, changes.entries))
+        except HistoryLostError:
+            return encode_failure(history=True)
+        except (ProtocolError, StoreUnavailableError):
+            return encode_failure(history=False)
