All readers of a data centre are asked at once; a retried request is not hedged as well

Change: a VM asks both readers at once and takes the first news; readers watch for 2.5 s and count as fresh for 3.5 s; a try that is the last one allowed ends the hedge's timer. A history that is lost again and again is listed with a pause; the test looped for ever before.

--- a/auburncart/coordination/forwarding/attempts.py
+++ b/auburncart/coordination/forwarding/attempts.py
@@ -120,8 +120,9 @@
         job.reason = reason
         self._open.append(job)
         pool.submit(job)
-        if self._plan.idempotent and self._may_try_again():
-            self._hedge_at = asyncio.get_running_loop().time() + self._plan.hedge_delay
+        hedges = self._plan.idempotent and self._may_try_again()
+        now = asyncio.get_running_loop().time()
+        self._hedge_at = now + self._plan.hedge_delay if hedges else float("inf")
         return True
 
     def _may_try_again(self) -> bool:
--- a/auburncart/coordination/forwarding/kinds.py
+++ b/auburncart/coordination/forwarding/kinds.py
@@ -16,7 +16,7 @@
 WATCH_SECONDS = 5.0  # a store that is silent to this VM alone is found within one watch
 COALESCE_SECONDS = 0.4  # joins changes that follow into one call; a tenth of the bounds
 MOST_HISTORY = 2000  # changes kept for other VMs, some storms of configurations and releases
-FRESH_SECONDS = 6.5  # one watch and its slack: beyond it other VMs must not rely on this one
+FRESH_SECONDS = 3.5  # a relayed watch and a second: beyond it other VMs must not rely on this one
 FIRST_BACKOFF_SECONDS = 0.1  # a store that is back must be seen within two seconds
 MOST_BACKOFF_SECONDS = 1.0
 
@@ -170,6 +170,7 @@
                 await self._step()
             except HistoryLostError:
                 self._revision = None
+                await asyncio.sleep(self._backoff.next())
             except AuburncartError as error:
                 self._lose(error)
                 await asyncio.sleep(self._backoff.next())
--- a/auburncart/coordination/forwarding/relay.py
+++ b/auburncart/coordination/forwarding/relay.py
@@ -1,5 +1,6 @@
 """Taking the store's changes from another VM, which reads them for all of a data centre."""
 
+import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import Any
@@ -7,12 +8,15 @@
 from auburncart.coordination.forwarding.journal import Journal
 from auburncart.coordination.forwarding.kinds import Changes, KindFollower, KindStore, Page
 from auburncart.coordination.forwarding.roster import Roster
-from auburncart.exception import LinkError, StoreUnavailableError
+from auburncart.exception import HistoryLostError, LinkError, StoreUnavailableError
+from auburncart.state.entryvm import EntryVm
 from auburncart.state.event import SourceChanged
 
 __all__ = ["RelayClient", "RelayServer", "RelayedStore"]
 
 DIRECT = "store"
+READER_WATCH_SECONDS = 2.5  # with the next, a silent store is noticed within a change's 5 s
+RELAY_WAIT_SECONDS = 1.0  # between questions whether a reader is still fresh; in one data centre
 
 
 class RelayClient(ABC):
@@ -98,17 +102,57 @@
         return await self._store.list(kind, after, stale=stale)
 
     async def changes(self, kind: str, revision: int, wait: float) -> Changes:
-        """Wait for changes at another VM, or at the store if none answers."""
-        for vm in self._roster.sources():
-            try:
-                changes = await self._client.changes(vm.address, kind, revision, wait)
-            except LinkError as error:
-                self._use(kind, DIRECT, str(error))
-                continue
-            self._use(kind, vm.name, "")
-            return changes
+        """Wait for changes at all readers at once, or at the store if none of them is fresh."""
+        sources = self._roster.sources()
+        if sources:
+            changes = await self._first_changes(sources, kind, revision)
+            if changes is not None:
+                return changes
+        if self._roster.relays:
+            wait = min(wait, READER_WATCH_SECONDS)
         return await self._store.changes(kind, revision, wait)
 
+    async def _first_changes(
+        self, sources: tuple[EntryVm, ...], kind: str, revision: int
+    ) -> Changes | None:
+        """Return the changes that a reader tells first, None if no reader is fresh.
+
+        One reader may be cut off from the store for a while before it notices.
+        """
+        asked = {
+            asyncio.create_task(
+                self._client.changes(vm.address, kind, revision, RELAY_WAIT_SECONDS)
+            ): vm
+            for vm in sources
+        }
+        answer: Changes | None = None
+        forgotten = False
+        pending = set(asked)
+        try:
+            while pending and not (answer and answer.entries):
+                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                for task in done:
+                    try:
+                        answer = self._better(answer, task.result())
+                        self._use(kind, asked[task].name, "")
+                    except HistoryLostError:
+                        forgotten = True
+                    except LinkError as error:
+                        if answer is None:
+                            self._use(kind, DIRECT, str(error))
+        finally:
+            for task in pending:
+                task.cancel()
+        if answer is None and forgotten:
+            raise HistoryLostError(f"no reader knows changes of {kind} since {revision}")
+        return answer
+
+    def _better(self, answer: Changes | None, other: Changes) -> Changes:
+        """Return the answer that tells more."""
+        if answer is None or other.entries or other.revision > answer.revision:
+            return other
+        return answer
+
     async def put(self, kind: str, name: str, value: Any) -> None:
         """Write an object at the store."""
         await self._store.put(kind, name, value)
--- a/auburncart/coordination/forwarding/tests/test_gateway.py
+++ b/auburncart/coordination/forwarding/tests/test_gateway.py
@@ -185,3 +185,19 @@
         answer = await rig.gateway.answer(request())
         assert isinstance(answer, Merged)
         self.assertEqual(list(answer.failures), ["s0"])
+
+
+class AttemptsTest(unittest.TestCase):
+    @virtual_time
+    async def test_a_request_that_was_retried_is_not_hedged_as_well(
+        self,
+    ) -> None:
+        rig = Rig(one_service(attempts=2))
+        await asyncio.sleep(10.0)
+        for number in range(3):
+            rig.add("s", number, ReplicaModel(seconds=60.0))
+        first = rig.directory.candidates("s")[0].registration.instance
+        rig.replicas.models[first].seconds = 0.01
+        rig.replicas.models[first].reply = broken
+        await rig.gateway.answer(request())
+        self.assertEqual(len(rig.replicas.arrivals), 2)
--- /dev/null
+++ b/auburncart/coordination/forwarding/tests/test_relay.py
@@ -0,0 +1,230 @@
+import asyncio
+import random
+import unittest
+from typing import Any
+
+from auburncart.coordination.forwarding.kinds import (
+    Changes,
+    Entry,
+    KindFollower,
+    KindSink,
+    KindStore,
+    Page,
+)
+from auburncart.coordination.forwarding.relay import RelayClient, RelayedStore, RelayServer
+from auburncart.coordination.forwarding.roster import Roster
+from auburncart.coordination.forwarding.tests.rig import ListJournal
+from auburncart.exception import HistoryLostError, LinkError, StoreUnavailableError
+from auburncart.state.entryvm import EntryVm
+from auburncart.tests.virtual import virtual_time
+
+VMS = 20
+GIVE_UP_SECONDS = 30.0
+CONFIGURATION_SECONDS = 5.0  # a change must be in force within it on a site of this size
+
+
+class StoreModel(KindStore):
+    """Objects of one kind; VMs that are cut off get no answer at all."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.history: list[Entry] = []
+        self.members: dict[str, Any] = {}
+        self.changed = asyncio.Event()
+        self.calls = 0
+        self.oldest = 0
+
+    def write(self, name: str, value: Any) -> None:
+        self.revision += 1
+        self.history.append(Entry(name, value, self.revision))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def list(self, kind: str, after: str = "", *, stale: bool = False) -> Page:
+        self.calls += 1
+        if kind == "entry-vms":
+            entries = tuple(Entry(name, value, 1) for name, value in self.members.items())
+            return Page(entries, False, self.revision)
+        latest = {entry.name: entry for entry in self.history}
+        return Page(tuple(latest.values()), False, self.revision)
+
+    async def changes(self, kind: str, revision: int, wait: float) -> Changes:
+        self.calls += 1
+        if revision < self.oldest:
+            raise HistoryLostError("gone", step="store")
+        deadline = asyncio.get_running_loop().time() + wait
+        while self.revision <= revision:
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await self.changed.wait()
+            except TimeoutError:
+                break
+        entries = tuple(entry for entry in self.history if entry.revision > revision)
+        return Changes(entries, self.revision)
+
+    async def put(self, kind: str, name: str, value: Any) -> None:
+        self.calls += 1
+        self.members[name] = EntryVm(name, value["data_centre"], value["address"])
+
+    async def delete(self, kind: str, name: str) -> None:
+        self.members.pop(name, None)
+
+
+class CutStore(KindStore):
+    """The store as one VM sees it: silent while ``cut``."""
+
+    def __init__(self, store: StoreModel) -> None:
+        self.store = store
+        self.cut = False
+
+    async def through(self, call: Any, seconds: float) -> Any:
+        try:
+            async with asyncio.timeout(seconds + 2.0):
+                answer = await call
+                while self.cut:
+                    await asyncio.sleep(0.1)
+                return answer
+        except TimeoutError as error:
+            raise StoreUnavailableError("silent", step="reply") from error
+
+    async def list(self, kind: str, after: str = "", *, stale: bool = False) -> Page:
+        return await self.through(self.store.list(kind, after, stale=stale), 0.0)
+
+    async def changes(self, kind: str, revision: int, wait: float) -> Changes:
+        return await self.through(self.store.changes(kind, revision, wait), wait)
+
+    async def put(self, kind: str, name: str, value: Any) -> None:
+        await self.through(self.store.put(kind, name, value), 0.0)
+
+    async def delete(self, kind: str, name: str) -> None:
+        await self.through(self.store.delete(kind, name), 0.0)
+
+
+class Seen(KindSink):
+    def __init__(self) -> None:
+        self.values: dict[str, tuple[Any, float]] = {}
+        self.returns = 0
+
+    def replace(self, entries: tuple[Entry, ...]) -> None:
+        for entry in entries:
+            self.change(entry)
+
+    def change(self, entry: Entry) -> None:
+        self.values[entry.name] = (entry.value, asyncio.get_running_loop().time())
+
+    def confirm(self) -> None:
+        pass
+
+    def returned(self) -> None:
+        self.returns += 1
+
+
+class Vm:
+    def __init__(self, tier: "Tier", number: int) -> None:
+        own = EntryVm(f"vm{number}", "dc1", f"127.0.0.1:{number}")
+        self.up = True
+        self.journal = ListJournal()
+        self.store = CutStore(tier.store)
+        self.roster = Roster(self.store, own, self.journal, first_start=True)
+        relayed = RelayedStore(self.store, lambda: tier, self.roster, self.journal)
+        self.seen = Seen()
+        self.follower = KindFollower(
+            relayed, "things", self.seen, self.journal, random.Random(number)
+        )
+        self.server = RelayServer({"things": self.follower})
+        self.tasks = [
+            asyncio.create_task(self.roster.run()),
+            asyncio.create_task(self.follower.run()),
+        ]
+
+
+class Tier(RelayClient):
+    """VMs of one data centre, which reach each other at once."""
+
+    def __init__(self) -> None:
+        self.store = StoreModel()
+        self.vms = {f"127.0.0.1:{number}": Vm(self, number) for number in range(VMS)}
+
+    @property
+    def readers(self) -> list[Vm]:
+        first = next(iter(self.vms.values()))
+        return [self.vms[vm.address] for vm in first.roster.readers()]
+
+    async def list(self, address: str, kind: str) -> Page:
+        try:
+            return self.vms[address].server.list(kind)
+        except StoreUnavailableError as error:
+            raise LinkError("not fresh", step="relay") from error
+
+    async def changes(self, address: str, kind: str, revision: int, wait: float) -> Changes:
+        vm = self.vms[address]
+        if not vm.up:
+            raise LinkError("no answer", step="relay")
+        try:
+            return await vm.server.changes(kind, revision, wait)
+        except StoreUnavailableError as error:
+            raise LinkError("not fresh", step="relay") from error
+
+    async def latest(self, value: Any, *, apart_from: tuple[Vm, ...] = ()) -> float:
+        """Write a value and return the seconds until all VMs have it."""
+        began = asyncio.get_running_loop().time()
+        self.store.write("main", value)
+        vms = [vm for vm in self.vms.values() if vm not in apart_from]
+        while any(vm.seen.values.get("main", (None, 0))[0] != value for vm in vms):
+            if asyncio.get_running_loop().time() - began > GIVE_UP_SECONDS:
+                break
+            await asyncio.sleep(0.05)
+        return asyncio.get_running_loop().time() - began
+
+
+class RelayTest(unittest.TestCase):
+    @virtual_time
+    async def test_few_vms_call_the_store_and_all_learn_of_a_change(self) -> None:
+        tier = Tier()
+        await asyncio.sleep(3.0)
+        tier.store.calls = 0
+        self.assertLess(await tier.latest(1), 1.0)
+        await asyncio.sleep(20.0)
+        self.assertLess(tier.store.calls, 3 * VMS + 20)
+
+    @virtual_time
+    async def test_a_reader_that_is_cut_from_the_store_holds_no_one_back(self) -> None:
+        for number in range(2):
+            tier = Tier()
+            await asyncio.sleep(3.0)
+            await tier.latest(1)
+            reader = tier.readers[number]
+            reader.store.cut = True
+            seconds = await tier.latest(2, apart_from=(reader,))
+            self.assertLess(seconds, 1.0)
+
+    @virtual_time
+    async def test_if_all_readers_are_cut_the_others_ask_the_store_in_time(self) -> None:
+        tier = Tier()
+        await asyncio.sleep(3.0)
+        await tier.latest(1)
+        for reader in tier.readers:
+            reader.store.cut = True
+        seconds = await tier.latest(2, apart_from=tuple(tier.readers))
+        self.assertLess(seconds, CONFIGURATION_SECONDS)
+
+    @virtual_time
+    async def test_readers_that_have_ended_are_replaced_by_the_store(self) -> None:
+        tier = Tier()
+        await asyncio.sleep(3.0)
+        await tier.latest(1)
+        for reader in tier.readers:
+            reader.up = False
+        seconds = await tier.latest(2)
+        self.assertLess(seconds, CONFIGURATION_SECONDS)
+
+    @virtual_time
+    async def test_a_lost_history_is_listed_anew(self) -> None:
+        tier = Tier()
+        await asyncio.sleep(3.0)
+        await tier.latest(1)
+        tier.store.write("main", 2)
+        tier.store.oldest = tier.store.revision + 1
+        await asyncio.sleep(0.0)
+        tier.store.oldest = tier.store.revision
+        self.assertLess(await tier.latest(3), 2.0)
