--- a/auburncart/coordination/forwarding/kinds.py
+++ b/auburncart/coordination/forwarding/kinds.py
@@ -151,8 +151,6 @@
 
         :raises HistoryLostError: changes since the revision are no longer known.
         """
-        if revision < self._oldest:
-            raise HistoryLostError(f"no changes since {revision}", step="relay")
         deadline = asyncio.get_running_loop().time() + wait
         while (self._revision or 0) <= revision:
             try:
@@ -160,6 +158,9 @@
                     await self._moved.wait()
             except TimeoutError:
                 break
+        # The list may have been read anew during the wait, without the changes in between.
+        if revision < self._oldest:
+            raise HistoryLostError(f"no changes since {revision}", step="relay")
         entries = tuple(entry for changed, entry in self._history if changed > revision)
         return Changes(entries, max(revision, self._revision or 0))
 
