Tests of the transport, the translation and the log; surplus after a reply ends its connection

Cause: the modules of the first landing on the platform had no tests of their own. One of the new tests failed: a second whole reply that came in one piece with the first was dropped, but the connection stayed in use, as the flag was reset before it was looked at.

--- a/auburncart/transport/client.py
+++ b/auburncart/transport/client.py
@@ -161,8 +161,11 @@
             self.close()
             return
         if self._complete:
+            surplus = self._surplus
+            if surplus:
+                self._closed = True
             self._deliver()
-            if self._surplus:
+            if surplus:
                 self._end_with_surplus()
 
     def eof_received(self) -> bool:
--- /dev/null
+++ b/auburncart/transport/tests/test_front.py
@@ -0,0 +1,139 @@
+import asyncio
+import unittest
+
+from auburncart.coordination.forwarding.interfaces import Forwarder
+from auburncart.platform.messages import PlatformCallerDialect
+from auburncart.state.configuration import CallerLimits
+from auburncart.state.forward import ForwardAnswer, ForwardRequest, Passed, Reply
+from auburncart.transport.front import ForwardServer, ReadinessServer
+
+SECONDS = 3.0
+LIMITS = CallerLimits(1000, 2000, 0.2, 0.4)
+HEAD = b"Host: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Remaining: 1000\r\n"
+
+
+class Echo(Forwarder):
+    """Answers with the body; a path that ends with ``slow`` takes long."""
+
+    def __init__(self) -> None:
+        self.requests: list[ForwardRequest] = []
+        self.ended = 0
+        self.is_leaving = False
+
+    @property
+    def ready(self) -> bool:
+        return not self.is_leaving
+
+    @property
+    def leaving(self) -> bool:
+        return self.is_leaving
+
+    async def answer(self, request: ForwardRequest) -> ForwardAnswer:
+        self.requests.append(request)
+        try:
+            if request.path.endswith("slow"):
+                await asyncio.sleep(60.0)
+        finally:
+            self.ended += 1
+        return Passed(Reply(200, b"OK", ((b"X-Id", request.request_id.encode()),), request.body))
+
+
+class FrontTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.echo = Echo()
+        probe = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        host, port = probe.sockets[0].getsockname()
+        probe.close()
+        await probe.wait_closed()
+        self.server = ForwardServer(
+            f"{host}:{port}", self.echo, PlatformCallerDialect(), lambda: LIMITS
+        )
+        await self.server.start()
+        self.reader, self.writer = await asyncio.open_connection(host, port)
+
+    async def asyncTearDown(self) -> None:
+        self.writer.close()
+        await self.server.stop()
+
+    async def reply(self) -> tuple[int, bytes, bytes]:
+        async with asyncio.timeout(SECONDS):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            length = int(head.split(b"Content-Length: ")[1].split(b"\r\n")[0])
+            return int(head.split()[1]), head, await self.reader.readexactly(length)
+
+    async def test_requests_on_one_connection_are_answered_in_their_order(self) -> None:
+        for number in (b"1", b"2", b"3"):
+            self.writer.write(b"GET /a HTTP/1.1\r\n" + HEAD % number + b"\r\n")
+        for number in (b"1", b"2", b"3"):
+            status, head, _ = await self.reply()
+            self.assertEqual(status, 200)
+            self.assertIn(b"X-Id: " + number, head)
+
+    async def test_bodies_come_with_a_length_or_in_chunks(self) -> None:
+        self.writer.write(b"POST /a HTTP/1.1\r\n" + HEAD % b"1" + b"Content-Length: 3\r\n\r\nabc")
+        self.writer.write(
+            b"POST /a HTTP/1.1\r\n" + HEAD % b"2" + b"Transfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nde\r\n1\r\nf\r\n0\r\n\r\n"
+        )
+        self.assertEqual([(await self.reply())[2] for _ in range(2)], [b"abc", b"def"])
+
+    async def test_what_is_no_proper_request_is_refused_and_read_no_further(self) -> None:
+        cases = {
+            b"rubbish\r\n\r\n": 400,
+            b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n": 400,
+            b"POST /a HTTP/1.1\r\n" + HEAD % b"1" + b"Content-Length: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n": 400,
+            b"GET /a HTTP/1.1\r\n" + HEAD % b"1" + b"X: " + b"x" * 2000 + b"\r\n\r\n": 431,
+            b"POST /a HTTP/1.1\r\n" + HEAD % b"1" + b"Content-Length: 9000\r\n\r\n": 413,
+            b"GET /a HTTP/1.1\r\nHost": 408,
+        }
+        for sent, expected in cases.items():
+            self.reader, self.writer = await asyncio.open_connection(
+                *self.server._address.split(":")
+            )
+            self.writer.write(sent)
+            status, head, _ = await self.reply()
+            self.assertEqual((status, b"Connection: close" in head), (expected, True), sent)
+            self.assertEqual(await self.reader.read(), b"")
+        self.assertEqual(self.echo.requests, [])
+
+    async def test_a_caller_that_leaves_ends_the_work(self) -> None:
+        self.writer.write(b"GET /slow HTTP/1.1\r\n" + HEAD % b"1" + b"\r\n")
+        async with asyncio.timeout(SECONDS):
+            while not self.echo.requests:
+                await asyncio.sleep(0.01)
+            self.writer.close()
+            while not self.echo.ended:
+                await asyncio.sleep(0.01)
+
+    async def test_an_idle_connection_is_closed_after_its_limit(self) -> None:
+        async with asyncio.timeout(SECONDS):
+            self.assertEqual(await self.reader.read(), b"")
+
+    async def test_a_vm_that_leaves_answers_and_closes(self) -> None:
+        self.echo.is_leaving = True
+        self.writer.write(b"GET /a HTTP/1.1\r\n" + HEAD % b"1" + b"\r\n")
+        status, head, _ = await self.reply()
+        self.assertEqual(status, 200)
+        self.assertIn(b"Connection: close", head)
+
+
+class ReadinessTest(unittest.IsolatedAsyncioTestCase):
+    async def test_readiness_and_pages(self) -> None:
+        ready = False
+        probe = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        host, port = probe.sockets[0].getsockname()
+        probe.close()
+        await probe.wait_closed()
+        server = ReadinessServer(f"{host}:{port}", lambda: ready, {"/metrics": lambda: b"m 1\n"})
+        await server.start()
+        reader, writer = await asyncio.open_connection(host, port)
+        for ready, status in ((False, b"503"), (True, b"200")):  # noqa: B007
+            writer.write(b"GET /r HTTP/1.1\r\n\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.assertIn(status, head)
+        writer.write(b"GET /metrics HTTP/1.1\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        self.assertEqual(await reader.readexactly(4), b"m 1\n")
+        writer.close()
+        await server.stop()
--- /dev/null
+++ b/auburncart/transport/tests/test_journal.py
@@ -0,0 +1,84 @@
+import asyncio
+import contextlib
+import json
+import os
+import unittest
+
+import eliot
+
+from auburncart.command.explain import lines_of
+from auburncart.state.event import Answered, Routed, TryFailed
+from auburncart.transport.journal import BURST_LINES, MOST_WAITING, EliotJournal
+
+MANY = 20000
+
+
+def routed(number: int) -> Routed:
+    return Routed(f"id{number}", "r", "s", 1, 0.1, 1.0)
+
+
+def failed(number: int) -> TryFailed:
+    return TryFailed(f"id{number}", "s", "127.0.0.1:1", "lost", "reset", True, 0.1)
+
+
+class JournalTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.reading, self.writing = os.pipe()
+        os.set_blocking(self.reading, False)
+        os.set_blocking(self.writing, False)
+        self.journal = EliotJournal(self.writing)
+        self.rest = b""
+
+    async def asyncTearDown(self) -> None:
+        eliot.remove_destination(self.journal._take)
+        os.close(self.reading)
+        os.close(self.writing)
+
+    def read(self) -> list[dict]:
+        with contextlib.suppress(BlockingIOError):
+            while piece := os.read(self.reading, 1 << 20):
+                self.rest += piece
+        *lines, self.rest = self.rest.split(b"\n")
+        return [json.loads(line) for line in lines]
+
+    async def test_routine_lines_have_a_budget_and_failures_go_first(self) -> None:
+        for number in range(2000):
+            self.journal.record(routed(number))
+        self.journal.record(failed(1))
+        kinds = []
+        for _ in range(50):
+            self.journal.flush()
+            kinds += [line["message_type"] for line in self.read()]
+        self.assertEqual(kinds.count("Routed"), BURST_LINES)
+        self.assertEqual(kinds.count("TryFailed"), 1)
+        self.assertEqual(self.journal.dropped_total, 2000 - BURST_LINES)
+
+    async def test_a_reader_that_stalls_holds_up_nothing_and_drops_are_counted(self) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        for number in range(MANY):
+            self.journal.record(failed(number))
+            if number % 1000 == 0:
+                self.journal.flush()
+        self.assertLess(loop.time() - began, 10.0)
+        self.assertLessEqual(len(self.journal._lines), MOST_WAITING + 1)
+        self.assertGreater(self.journal.dropped_total, MANY // 2)
+        self.journal._reported_at = -100.0
+        lines = self.read()
+        for _ in range(200):
+            self.journal.flush()
+            lines += self.read()
+        drops = [line for line in lines if line["message_type"] == "LinesDropped"]
+        counted = sum(line.get("TryFailed", 0) for line in drops)
+        self.assertEqual(counted, self.journal.dropped_total)
+
+    async def test_explain_shows_one_requests_lines_in_order(self) -> None:
+        self.journal.record(routed(1))
+        self.journal.record(routed(2))
+        self.journal.record(failed(1))
+        self.journal.record(Answered("id1", "r", "search", 200, 0.1, 1, ("s",), "no reply"))
+        self.journal.flush()
+        raw = [json.dumps(line).encode() for line in self.read()]
+        lines = lines_of([*raw, b"cut li"], "id1")
+        self.assertEqual([line.split()[2] for line in lines], ["Routed", "TryFailed", "Answered"])
+        self.assertEqual(lines_of(raw, "id9"), [])
