Requests that crash replicas are stopped on all VMs

Cause: nothing bounded how many replicas one request can take down when its caller asks again at other VMs; each VM saw a crash or none. Change: a try during which a replica breaks off and then refuses connections is a crash; it is reported in the store, which all VMs follow; after three tries of the same request (method, host, target, body, caller) within a minute it is refused as not run, with the time left. Ruled out: counting replicas instead of tries, as one innocent search loses several at a mass crash; taking any lost connection for a crash, as resets and lost answers are none. Also: SIGHUP reads the settings anew, a suspension of the VM drops idle connections, readiness is logged, and the real process is tested with SIGTERM during a request. Tests: test_suspects, test_forward.

--- a/auburncart/coordination/forwarding/attempts.py
+++ b/auburncart/coordination/forwarding/attempts.py
@@ -8,6 +8,7 @@
 from auburncart.coordination.forwarding.directory import Directory
 from auburncart.coordination.forwarding.journal import Journal
 from auburncart.coordination.forwarding.replica import Job, JobResult, ReplicaPool
+from auburncart.coordination.forwarding.suspects import Suspects
 from auburncart.coordination.mailbox import Mailbox
 from auburncart.state.event import Hedged, Retried, TryFailed
 from auburncart.state.failure import Failure, FailureCode, Step
@@ -61,6 +62,7 @@
     directory: Directory
     selection: ReplicaSelection
     budget: RetryBudget
+    suspects: Suspects
     journal: Journal
 
 
@@ -168,6 +170,8 @@
                 asyncio.get_running_loop().time() - job.queued_at,
             )
         )
+        if failure.code is FailureCode.LOST:
+            self._tools.suspects.record_loss(self._request, job.pool)
         if not failure.sent:
             self._tries -= 1
             self._unsent += 1
--- a/auburncart/coordination/forwarding/gateway.py
+++ b/auburncart/coordination/forwarding/gateway.py
@@ -77,6 +77,10 @@
             )
         if route is None:
             return Refusal(RefusalCode.NO_ROUTE, "no route for this path", step=Step.ROUTE)
+        quarantine = self._tools.suspects.refuses(request)
+        if quarantine > 0.0:
+            reason = "replicas crashed each time that they ran it"
+            return Refusal(RefusalCode.UNAVAILABLE, reason, Ran.NO, quarantine, Step.ROUTE)
         until = min(request.deadline - DEADLINE_MARGIN_SECONDS, request.arrived + route.timeout)
         if route.shards:
             return await self._search(request, route, until)
--- a/auburncart/coordination/forwarding/kinds.py
+++ b/auburncart/coordination/forwarding/kinds.py
@@ -112,15 +112,23 @@
     :param sink: told of the objects.
     :param journal: told when the store is lost and regained.
     :param rng: source of the jitter, another one on each VM.
+    :param watch_seconds: longest time of one watch.
     """
 
     def __init__(
-        self, store: KindStore, kind: str, sink: KindSink, journal: Journal, rng: random.Random
+        self,
+        store: KindStore,
+        kind: str,
+        sink: KindSink,
+        journal: Journal,
+        rng: random.Random,
+        watch_seconds: float = WATCH_SECONDS,
     ) -> None:
         self._store = store
         self._kind = kind
         self._sink = sink
         self._journal = journal
+        self._watch_seconds = watch_seconds
         self._backoff = Backoff(rng, FIRST_BACKOFF_SECONDS, MOST_BACKOFF_SECONDS)
         self._revision: int | None = None
         self._lost_at: float | None = None
@@ -186,7 +194,7 @@
             self._oldest = revision
             changed = False
         else:
-            wait = WATCH_SECONDS if self._lost_at is None else 0.0
+            wait = self._watch_seconds if self._lost_at is None else 0.0
             changes = await self._store.changes(self._kind, self._revision, wait)
             self._regain()
             revision = changes.revision
--- a/auburncart/coordination/forwarding/replica.py
+++ b/auburncart/coordination/forwarding/replica.py
@@ -166,6 +166,15 @@
         self._queue = [entry for entry in self._queue if entry[2] is not job]
         heapq.heapify(self._queue)
 
+    async def answers(self) -> bool:
+        """Return whether the replica accepts a connection now."""
+        try:
+            connection = await self._dialer.connect(self.registration)
+        except UpstreamError:
+            return False
+        connection.close()
+        return True
+
     def retire(self) -> None:
         """Take no more requests; those at work are finished, those that wait go elsewhere."""
         self._retired = True
--- a/auburncart/coordination/forwarding/tests/rig.py
+++ b/auburncart/coordination/forwarding/tests/rig.py
@@ -1,6 +1,7 @@
 """A gateway over stand-in replicas, for tests on virtual time."""
 
 import asyncio
+from typing import Any
 
 from auburncart.coordination.forwarding.attempts import Tools
 from auburncart.coordination.forwarding.budget import BudgetBounds, RetryBudget
@@ -9,7 +10,10 @@
 from auburncart.coordination.forwarding.directory import Directory
 from auburncart.coordination.forwarding.gateway import Gateway
 from auburncart.coordination.forwarding.journal import Journal
+from auburncart.coordination.forwarding.kinds import Changes, KindStore, Page
+from auburncart.coordination.forwarding.suspects import Suspects
 from auburncart.coordination.shutdown import Drain
+from auburncart.exception import StoreUnavailableError
 from auburncart.standins.replicas import FakeReplicas, ReplicaModel
 from auburncart.state.configuration import CallerLimits, Configuration, Route, Service, Target
 from auburncart.state.event import Event
@@ -32,10 +36,26 @@
         return [event for event in self.events if isinstance(event, kind)]
 
 
+class NoStore(KindStore):
+    """A store that is down."""
+
+    async def list(self, kind: str, after: str = "", *, stale: bool = False) -> Page:
+        raise StoreUnavailableError("down", step="store")
+
+    async def changes(self, kind: str, revision: int, wait: float) -> Changes:
+        raise StoreUnavailableError("down", step="store")
+
+    async def put(self, kind: str, name: str, value: Any) -> None:
+        raise StoreUnavailableError("down", step="store")
+
+    async def delete(self, kind: str, name: str) -> None:
+        raise StoreUnavailableError("down", step="store")
+
+
 class Rig:
     """One VM's gateway; replicas are named ``SERVICE/NUMBER``."""
 
-    def __init__(self, route: Route, connections: int = 4) -> None:
+    def __init__(self, route: Route, connections: int = 4, store: KindStore | None = None) -> None:
         self.journal = ListJournal()
         self.replicas = FakeReplicas()
         self.directory = Directory(
@@ -46,7 +66,8 @@
         services = {name: Service(name, 26) for name in names}
         self.keeper.install(Configuration(1, (route,), services, CallerLimits()))
         self.budget = RetryBudget(BudgetBounds(), lambda: 1)
-        tools = Tools(self.directory, LeastWait(), self.budget, self.journal)
+        self.suspects = Suspects(store or NoStore(), self.journal)
+        tools = Tools(self.directory, LeastWait(), self.budget, self.suspects, self.journal)
         self.gateway = Gateway(self.keeper, tools, Drain(lambda: True), lambda: 0.0)
 
     def add(self, service: str, number: int, model: ReplicaModel | None = None) -> ReplicaModel:
--- /dev/null
+++ b/auburncart/coordination/forwarding/tests/test_suspects.py
@@ -0,0 +1,94 @@
+import asyncio
+import random
+import unittest
+
+from auburncart.coordination.forwarding.kinds import KindFollower
+from auburncart.coordination.forwarding.suspects import CRASHES
+from auburncart.coordination.forwarding.tests.rig import Rig, one_service, request
+from auburncart.coordination.forwarding.tests.test_relay import StoreModel
+from auburncart.exception import StoreUnavailableError
+from auburncart.standins.replicas import ReplicaModel
+from auburncart.state.crash import CrashReport
+from auburncart.state.failure import Ran, Refusal
+from auburncart.state.forward import ForwardRequest, Passed
+from auburncart.tests.virtual import virtual_time
+
+DOWN_SECONDS = 3.0  # a replica is back some seconds after a crash
+
+
+class CrashStore(StoreModel):
+    """Keeps reports of crashes."""
+
+    async def put(self, kind: str, name: str, value: dict) -> None:
+        if kind != CRASHES:
+            raise StoreUnavailableError("another kind", step="store")
+        self.write(name, CrashReport(value["digest"]))
+
+
+def crashing(model: ReplicaModel) -> ReplicaModel:
+    """Make a replica crash on path ``/a/bad``."""
+
+    def reply(asked: ForwardRequest):
+        if asked.path != "/a/bad":
+            return good(asked)
+        model.reachable = False
+        asyncio.get_running_loop().call_later(DOWN_SECONDS, setattr, model, "reachable", True)
+        return None
+
+    good = model.reply
+    model.reply = reply
+    return model
+
+
+def bad(number: int) -> ForwardRequest:
+    return request(number)._replace(path="/a/bad", target=b"/a/bad", caller="127.0.0.1:9")
+
+
+class SuspectsTest(unittest.TestCase):
+    @virtual_time
+    async def test_a_request_that_crashes_replicas_is_stopped_on_all_vms(self) -> None:
+        store = CrashStore()
+        rigs = [Rig(one_service(attempts=1), store=store) for _ in range(4)]
+        tasks = []
+        for number, rig in enumerate(rigs):
+            follower = KindFollower(
+                store, CRASHES, rig.suspects, rig.journal, random.Random(number)
+            )
+            tasks.append(asyncio.create_task(follower.run()))
+            rig.add("s", 1, crashing(ReplicaModel()))
+        for number in range(3):
+            await rigs[number].gateway.answer(bad(number))
+        await asyncio.sleep(4.0)
+        reached = sum(len(rig.replicas.arrivals) for rig in rigs)
+        self.assertEqual(reached, 3)
+        for number in range(3, 15):
+            answer = await rigs[number % 4].gateway.answer(bad(number))
+            assert isinstance(answer, Refusal)
+            self.assertIs(answer.ran, Ran.NO)
+            self.assertGreater(answer.retry_after, 0.0)
+            other = await rigs[number % 4].gateway.answer(request(number))
+            self.assertIsInstance(other, Passed)
+        self.assertEqual(sum(rig.reached("s/1") for rig in rigs), 3 + 12)
+
+    @virtual_time
+    async def test_a_connection_that_is_reset_is_no_crash(self) -> None:
+        rig = Rig(one_service(attempts=1))
+        rig.add("s", 1, ReplicaModel(reply=lambda asked: None))
+        for number in range(10):
+            await rig.gateway.answer(bad(number))
+            await asyncio.sleep(5.0)
+        self.assertEqual(rig.reached("s/1"), 10)
+
+    @virtual_time
+    async def test_it_may_be_asked_again_after_a_while(self) -> None:
+        rig = Rig(one_service(attempts=1))
+        model = rig.add("s", 1, crashing(ReplicaModel()))
+        for number in range(3):
+            await rig.gateway.answer(bad(number))
+            await asyncio.sleep(2.0 * DOWN_SECONDS)
+        self.assertIsInstance(await rig.gateway.answer(bad(4)), Refusal)
+        await asyncio.sleep(120.0)
+        reached = rig.reached("s/1")
+        await rig.gateway.answer(bad(5))
+        self.assertEqual(rig.reached("s/1"), reached + 1)
+        self.assertFalse(model.reachable)
--- a/auburncart/daemon/__main__.py
+++ b/auburncart/daemon/__main__.py
@@ -18,13 +18,13 @@
 
 def main() -> int:
     """Run the daemon; return its exit code."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
-        settings = load_platform_settings(Path(os.environ.get(SETTINGS_VARIABLE, "")))
+        with asyncio.Runner(loop_factory=SuspendAwareLoop) as runner:
+            return runner.run(run_forward(lambda: load_platform_settings(path)))
     except SettingsError as error:
         sys.stderr.write("\n".join(error.faults) + "\n")
         return EXIT_BAD_SETTINGS
-    with asyncio.Runner(loop_factory=SuspendAwareLoop) as runner:
-        return runner.run(run_forward(settings))
 
 
 if __name__ == "__main__":
--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -13,18 +13,29 @@
 from auburncart.coordination.forwarding.configuration import ConfigurationKeeper
 from auburncart.coordination.forwarding.directory import Directory
 from auburncart.coordination.forwarding.gateway import Gateway
-from auburncart.coordination.forwarding.kinds import KindFollower, KindSink
+from auburncart.coordination.forwarding.kinds import WATCH_SECONDS, KindFollower, KindSink
 from auburncart.coordination.forwarding.relay import RelayClient, RelayedStore, RelayServer
 from auburncart.coordination.forwarding.roster import Roster
 from auburncart.coordination.forwarding.sinks import ConfigurationSink, ReplicaSink
+from auburncart.coordination.forwarding.suspects import CRASHES, Suspects
 from auburncart.coordination.shutdown import Drain, Shutdown, ShutdownTimes
+from auburncart.exception import SettingsError
 from auburncart.platform.messages import PlatformCallerDialect, PlatformReplicaDialect
 from auburncart.platform.store import CONFIGURATION, REPLICAS, PlatformKindDialect
 from auburncart.settings.forward import ForwardSettings
 from auburncart.state.configuration import CallerLimits, Configuration
+from auburncart.state.crash import CrashReport
 from auburncart.state.entryvm import EntryVm
-from auburncart.state.event import Started, Stopped, TaskFailed
+from auburncart.state.event import (
+    ReadinessChanged,
+    Reloaded,
+    Started,
+    Stopped,
+    Suspended,
+    TaskFailed,
+)
 from auburncart.state.registration import Registration
+from auburncart.transport.clock import suspended_seconds
 from auburncart.transport.forward_metrics import ForwardMetrics
 from auburncart.transport.front import ForwardServer, ReadinessServer
 from auburncart.transport.journal import EliotJournal
@@ -36,8 +47,15 @@
 BALANCER_LAG_SECONDS = 2.2  # two questions a second apart take a VM out, and the way of the last
 STOP_MARGIN_SECONDS = 0.5  # before the process is killed: ends connections and writes the log
 EXIT_FAILED = 1
+CRASH_WATCH_SECONDS = 25.0  # below the 30 s of the store; a late report does little harm
+LOOK_SECONDS = 0.5  # between looks at the clock: half of the balancer's question interval
+LEAST_SUSPENSION_SECONDS = 0.5  # shorter pauses no other side takes for an end
 METRICS_PATH = "/metrics"
-KIND_TYPES: dict[str, type] = {CONFIGURATION: Configuration, REPLICAS: Registration}
+KIND_TYPES: dict[str, type] = {
+    CONFIGURATION: Configuration,
+    REPLICAS: Registration,
+    CRASHES: CrashReport,
+}
 
 
 class ForwardDaemon:
@@ -68,13 +86,15 @@
             lambda: self._roster.vms,
         )
         self._drain = Drain(lambda: self._keeper.table is not None and self._replicas.listed)
-        tools = Tools(self._directory, LeastWait(), budget, self._journal)
+        suspects = Suspects(self._store, self._journal)
+        tools = Tools(self._directory, LeastWait(), budget, suspects, self._journal)
         own = EntryVm(settings.name, settings.data_centre, settings.relay_address)
         self._roster = Roster(self._store, own, self._journal, first_start=settings.first_start)
         self._relayed = RelayedStore(self._store, _relay_client, self._roster, self._journal)
         self._followers = (
             self._follow(CONFIGURATION, ConfigurationSink(self._keeper)),
             self._follow(REPLICAS, self._replicas),
+            self._follow(CRASHES, suspects, CRASH_WATCH_SECONDS),
         )
         self._gateway = Gateway(self._keeper, tools, self._drain, lambda: self._followers[1].age)
         self._front = ForwardServer(
@@ -96,6 +116,7 @@
             self._directory.run,
             self._roster.run,
             self._serve_relay,
+            self._look_at_itself,
             *(follower.run for follower in self._followers),
         )
         for run in runs:
@@ -139,6 +160,44 @@
         kinds = dict(zip(KIND_TYPES, self._followers, strict=True))
         await RelayListener(self._settings.relay_address, RelayServer(kinds)).start()
 
+    async def _look_at_itself(self) -> None:
+        """Notice a suspension of the VM, and a change of its readiness."""
+        suspended, ready = suspended_seconds(), False
+        while True:
+            if self._gateway.ready != ready:
+                ready = not ready
+                self._journal.record(ReadinessChanged(ready, self._readiness_reason()))
+            await asyncio.sleep(LOOK_SECONDS)
+            pause = suspended_seconds() - suspended
+            if pause >= LEAST_SUSPENSION_SECONDS:
+                suspended += pause
+                self._journal.record(Suspended(pause))
+                # Their other sides may have given them up meanwhile.
+                self._directory.drop_idle()
+                self._store.drop_idle()
+
+    def _readiness_reason(self) -> str:
+        reasons = {
+            "leaving": self._drain.leaving,
+            "no configuration": self._keeper.table is None,
+            "no list of replicas": not self._replicas.listed,
+        }
+        return ", ".join(reason for reason, holds in reasons.items() if holds)
+
+    def reload(self, settings: ForwardSettings) -> None:
+        """Take in settings that were read anew; what is bound to an address stays until a restart.
+
+        :param settings: checked settings.
+        """
+        pairs = zip(self._settings._fields, self._settings, settings, strict=True)
+        changed = tuple(name for name, old, new in pairs if old != new)
+        self._settings = settings
+        self._journal.record(Reloaded(changed, ""))
+
+    def refuse_reload(self, error: SettingsError) -> None:
+        """Go on with the settings in force, for those read anew have faults."""
+        self._journal.record(Reloaded((), str(error)))
+
     def _note_end(self, task: asyncio.Task[None]) -> None:
         """End the process if a task that runs for good has failed: started anew, it may go on."""
         if task.cancelled() or task.exception() is None:
@@ -148,7 +207,7 @@
         self.failed.set()
 
     def _watch_values(self) -> None:
-        configuration, replicas = self._followers
+        configuration, replicas, _ = self._followers
         watch = self._journal.watch
         watch("configuration_version", "Version in force", lambda: float(self._keeper.version))
         watch(
@@ -166,9 +225,11 @@
             lambda: float(sum(pool.connections for pool in self._directory.pools)),
         )
 
-    def _follow(self, kind: str, sink: KindSink) -> KindFollower:
+    def _follow(
+        self, kind: str, sink: KindSink, watch_seconds: float = WATCH_SECONDS
+    ) -> KindFollower:
         rng = random.Random(f"{self._settings.name}/{kind}")
-        return KindFollower(self._relayed, kind, sink, self._journal, rng)
+        return KindFollower(self._relayed, kind, sink, self._journal, rng, watch_seconds)
 
     def _limits(self) -> CallerLimits:
         table = self._keeper.table
@@ -186,17 +247,26 @@
     return WebSocketRelayClient(KIND_TYPES)
 
 
-async def run_forward(settings: ForwardSettings) -> int:
-    """Run the daemon until it is told to stop by SIGTERM or SIGINT.
+async def run_forward(load: Callable[[], ForwardSettings]) -> int:
+    """Run the daemon until it is told to stop by SIGTERM or SIGINT; SIGHUP reads its settings.
 
+    :param load: reads and checks the settings.
     :return: exit code.
+    :raises SettingsError: the settings have faults at the start.
     """
-    daemon = ForwardDaemon(settings)
+    daemon = ForwardDaemon(load())
+
+    def reload() -> None:
+        try:
+            daemon.reload(load())
+        except SettingsError as error:
+            daemon.refuse_reload(error)
+
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    loop.add_signal_handler(signal.SIGHUP, reload)
     await daemon.start()
     ends = [asyncio.create_task(event.wait()) for event in (stopped, daemon.failed)]
     await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
--- /dev/null
+++ b/auburncart/daemon/tests/test_forward.py
@@ -0,0 +1,180 @@
+"""The daemon as a process: start, stop, reload, bad settings."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+SECONDS = 10.0
+REPLICA_REPLY = (
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\nX-Server-Stamp: p\r\nContent-Length: 2\r\n\r\nhi"
+)
+REQUEST = b"GET /a/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id1\r\nX-Deadline-Remaining: 3000\r\n\r\n"
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.replica = await asyncio.start_server(self.serve_replica, "127.0.0.1", 0)
+        self.store = await asyncio.start_server(self.serve_store, "127.0.0.1", 0)
+        self.front, self.ready, self.relay = free_port(), free_port(), free_port()
+        self.delay = 0.0
+        self.folder = tempfile.TemporaryDirectory()
+        self.path = Path(self.folder.name, "boot.json")
+        self.settings = {
+            "nodeName": "vm1", "ipAddr": "127.0.0.1", "zone": "dc1", "region": "r1",
+            "zones": {"dc1": "r1"}, "bootstrap": False, "portRange": [self.relay, self.relay],
+            "listenAddrs": {"front": f"127.0.0.1:{self.front}", "ready": f"127.0.0.1:{self.ready}"},
+            "platform": {"address": self.address(self.store)},
+            "contractParams": {"graceS": 3},
+        }  # fmt: skip
+        self.path.write_text(json.dumps(self.settings))
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "auburncart.daemon",
+            env={**os.environ, "AUBURNCART_SETTINGS": str(self.path)},
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+
+    async def asyncTearDown(self) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        self.replica.close()
+        self.store.close()
+        self.folder.cleanup()
+
+    def address(self, server: asyncio.Server) -> str:
+        host, port = server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def serve_replica(self, reader, writer) -> None:
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                await asyncio.sleep(self.delay)
+                writer.write(REPLICA_REPLY)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def serve_store(self, reader, writer) -> None:
+        route = {
+            "name": "r", "host": "h", "pathPrefix": "/a/", "kind": "non_idempotent",
+            "timeoutMs": 3000, "sloMs": 1000, "priority": 0, "maxAttempts": 1, "service": "s",
+        }  # fmt: skip
+        limits = {
+            "maxHeaderBytes": 9000, "maxBodyBytes": 9000, "headerTimeoutMs": 1000,
+            "idleTimeoutMs": 5000,
+        }  # fmt: skip
+        services = [{"name": "s", "maxConns": 26}]
+        configuration = {
+            "configVersion": 3, "routes": [route], "services": services, "limits": limits
+        }  # fmt: skip
+        replica = {
+            "service": "s", "address": self.address(self.replica), "zone": "dc1", "slots": 2,
+            "state": "ready",
+        }  # fmt: skip
+        kinds = {"config": {"main": configuration}, "servers": {"i-1": replica}}
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                length = head.lower().partition("content-length: ")[2].partition("\r")[0]
+                await reader.readexactly(int(length or 0))
+                target = head.split()[1]
+                if "watch=" in target:
+                    await asyncio.sleep(1.0)
+                    body = {"events": [], "atRev": 1}
+                else:
+                    kind = target.split("/")[2].partition("?")[0]
+                    items = [
+                        {"meta": {"name": name, "rev": 1}, "spec": spec}
+                        for name, spec in kinds.get(kind, {}).items()
+                    ]
+                    body = {"items": items, "hasMore": False, "atRev": 1}
+                data = json.dumps(body).encode()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(data) + data)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def until_ready(self) -> None:
+        async with asyncio.timeout(SECONDS):
+            while True:
+                try:
+                    if (await self.ask(self.ready, b"GET /r HTTP/1.1\r\n\r\n")).startswith(
+                        b"HTTP/1.1 200"
+                    ):
+                        return
+                except ConnectionError:
+                    pass
+                await asyncio.sleep(0.05)
+
+    async def ask(self, port: int, message: bytes) -> bytes:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(message)
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        return head
+
+    async def lines(self) -> list[dict]:
+        assert self.process.stdout is not None
+        return [json.loads(line) for line in (await self.process.stdout.read()).splitlines()]
+
+    async def test_a_request_at_work_at_sigterm_is_answered_and_logged(self) -> None:
+        await self.until_ready()
+        self.delay = 0.5
+        asked = asyncio.create_task(self.ask(self.front, REQUEST))
+        await asyncio.sleep(0.2)
+        self.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        ready = await self.ask(self.ready, b"GET /r HTTP/1.1\r\n\r\n")
+        self.assertTrue(ready.startswith(b"HTTP/1.1 503"))
+        head = await asked
+        self.assertTrue(head.startswith(b"HTTP/1.1 200"))
+        self.assertIn(b"Connection: close", head)
+        async with asyncio.timeout(SECONDS):
+            self.assertEqual(await self.process.wait(), 0)
+        kinds = [line["message_type"] for line in await self.lines()]
+        for kind in ("Started", "ConfigurationInForce", "ReplicasChanged", "Routed", "Answered"):
+            self.assertIn(kind, kinds)
+        self.assertEqual(kinds[-1], "Stopped")
+
+    async def test_settings_are_read_anew_and_faulty_ones_change_nothing(self) -> None:
+        await self.until_ready()
+        self.path.write_text(json.dumps({**self.settings, "contractParams": {"graceS": 2}}))
+        self.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.2)
+        self.path.write_text("{")
+        self.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.2)
+        head = await self.ask(self.front, REQUEST)
+        self.assertTrue(head.startswith(b"HTTP/1.1 200"))
+        self.process.send_signal(signal.SIGTERM)
+        await self.process.wait()
+        reloads = [line for line in await self.lines() if line["message_type"] == "Reloaded"]
+        self.assertEqual(reloads[0]["changed"], ["grace_seconds"])
+        self.assertTrue(reloads[1]["error"])
+
+
+class BadSettingsTest(unittest.TestCase):
+    def test_a_missing_field_is_a_clear_error(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "boot.json")
+            path.write_text('{"nodeName": "vm1"}')
+            process = subprocess.run(
+                [sys.executable, "-m", "auburncart.daemon"],
+                env={**os.environ, "AUBURNCART_SETTINGS": str(path)},
+                capture_output=True,
+                check=False,
+            )
+        self.assertEqual(process.returncode, 2)
+        self.assertIn(b"boot.json: Object missing required field", process.stderr)
--- a/auburncart/platform/store.py
+++ b/auburncart/platform/store.py
@@ -8,9 +8,11 @@
 
 from auburncart.coordination.forwarding.kinds import Changes, Entry, Page
 from auburncart.coordination.forwarding.roster import ENTRY_VMS
+from auburncart.coordination.forwarding.suspects import CRASHES
 from auburncart.exception import ProtocolError
 from auburncart.platform.documents import decode_configuration, decode_registration
 from auburncart.protocol.kinds import KindCall, KindDialect
+from auburncart.state.crash import CrashReport
 from auburncart.state.entryvm import EntryVm
 
 __all__ = ["CONFIGURATION", "REPLICAS", "PlatformKindDialect"]
@@ -48,6 +50,7 @@
 DECODERS: dict[str, Callable[[str, Any], Any]] = {
     CONFIGURATION: lambda name, spec: decode_configuration(spec),
     REPLICAS: decode_registration,
+    CRASHES: lambda name, spec: CrashReport(spec["digest"]),
     ENTRY_VMS: lambda name, spec: EntryVm(name, spec["data_centre"], spec["address"]),
 }
 
--- a/auburncart/state/event.py
+++ b/auburncart/state/event.py
@@ -8,6 +8,7 @@
 __all__ = [
     "Answered",
     "ConfigurationInForce",
+    "CrashConfirmed",
     "DependencyLost",
     "DependencyRegained",
     "EntryUnreadable",
@@ -149,6 +150,15 @@
     seconds: float
 
 
+class CrashConfirmed(NamedTuple):
+    """A replica crashed while it ran a request; ``crashes`` counts the request's tries so far."""
+
+    request: str
+    digest: str
+    replica: str
+    crashes: int
+
+
 class RosterChanged(NamedTuple):
     """The number of VMs that share the budgets changed."""
 
@@ -220,6 +230,7 @@
     | EntryUnreadable
     | DependencyLost
     | DependencyRegained
+    | CrashConfirmed
     | RosterChanged
     | SourceChanged
     | ReadinessChanged
--- a/auburncart/transport/clock.py
+++ b/auburncart/transport/clock.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-__all__ = ["SuspendAwareLoop"]
+__all__ = ["SuspendAwareLoop", "suspended_seconds"]
 
 
 class SuspendAwareLoop(asyncio.SelectorEventLoop):
@@ -15,3 +15,8 @@
     def time(self) -> float:
         """Return seconds since boot, suspension included."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def suspended_seconds() -> float:
+    """Return the seconds for which the VM has been suspended since its boot."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.clock_gettime(time.CLOCK_MONOTONIC)
--- a/auburncart/transport/kinds.py
+++ b/auburncart/transport/kinds.py
@@ -63,6 +63,10 @@
         if reply.status != ABSENT:
             self._found(reply)
 
+    def drop_idle(self) -> None:
+        """Close the kept connections that are idle."""
+        self._client.close()
+
     def close(self) -> None:
         """Close the kept connections."""
         self._client.close()
