Each line names its VM, and a request that timed out names the replica it waited for

Both missing facts are now in the lines; explain orders the lines by time and shows only the changes of the request's VM.

--- a/auburncart/command/explain.py
+++ b/auburncart/command/explain.py
@@ -15,8 +15,9 @@
 def explain(request: str, log: Path | None = None) -> int:
     """Print the decisions about one request in order, with their inputs; exit code 1 if none.
 
-    Changes of what the VM believed (configuration, replicas, the store) that fall between the
-    request's first and last line are shown as well, set off by an asterisk.
+    Changes of what its VM believed (configuration, replicas, the store) that fall between the
+    request's first and last line are shown as well, set off by an asterisk. The log may hold the
+    lines of several VMs.
 
     :param request: identifier of the request.
     :param log: the log; standard input if it is left out.
@@ -36,16 +37,19 @@
 
     A line that is no JSON, such as one cut at the log's end, is passed over.
     """
-    events = [event for event in map(_event, log) if event]
+    events = sorted(
+        (event for event in map(_event, log) if event), key=lambda event: event["timestamp"]
+    )
     own = [index for index, event in enumerate(events) if event.get("request") == request]
     if not own:
         return []
-    shown = range(own[0], own[-1] + 1)
-    start = events[own[0]]["timestamp"]
+    shown = events[own[0] : own[-1] + 1]
+    vms = {event.get("vm") for event in shown if event.get("request") == request}
+    start = shown[0]["timestamp"]
     return [
-        _line(events[index], start)
-        for index in shown
-        if events[index].get("request", request) == request
+        _line(event, start)
+        for event in shown
+        if event.get("request", request) == request and event.get("vm") in vms
     ]
 
 
--- a/auburncart/coordination/forwarding/attempts.py
+++ b/auburncart/coordination/forwarding/attempts.py
@@ -215,8 +215,9 @@
         )
 
     def _timed_out(self) -> Outcome:
-        sent = any(job.sent for job in self._open)
-        failure = Failure(
-            Step.REPLY, "", "no reply in time", FailureCode.TIMED_OUT, sent or self._may_have_run
-        )
-        return Outcome(self._last_reply, failure, sent or self._may_have_run, self._tries)
+        waiting = [job for job in self._open if job.sent]
+        peers = " ".join(job.pool.registration.address for job in waiting if job.pool)
+        sent = bool(waiting) or self._may_have_run
+        reason = "no reply in time" if waiting else "not taken up in time"
+        failure = Failure(Step.REPLY, peers, reason, FailureCode.TIMED_OUT, sent)
+        return Outcome(self._last_reply, failure, sent, self._tries)
--- a/auburncart/coordination/forwarding/tests/test_gateway.py
+++ b/auburncart/coordination/forwarding/tests/test_gateway.py
@@ -90,6 +90,7 @@
         assert isinstance(answer, Refusal)
         self.assertEqual((answer.code, answer.ran), (RefusalCode.TIMED_OUT, Ran.UNKNOWN))
         self.assertAlmostEqual(asyncio.get_running_loop().time() - began, 2.0, delta=0.1)
+        self.assertEqual(answer.peer, "127.0.0.1:1001")
 
     @virtual_time
     async def test_work_ends_when_the_caller_leaves(self) -> None:
--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -67,7 +67,7 @@
     def __init__(self, settings: ForwardSettings) -> None:
         self._settings = settings
         self.failed = asyncio.Event()
-        self._log = EliotJournal(sys.stdout.fileno())
+        self._log = EliotJournal(sys.stdout.fileno(), settings.name)
         self._journal = ForwardMetrics(self._log)
         self._store = HttpKindStore(
             settings.store_address, PlatformKindDialect(), self._journal.store_called
--- a/auburncart/transport/journal.py
+++ b/auburncart/transport/journal.py
@@ -30,10 +30,12 @@
     which a reader that stalls may fill. What is dropped is counted by kind.
 
     :param descriptor: file descriptor to write to.
+    :param vm: name of the VM, which every line carries.
     """
 
-    def __init__(self, descriptor: int) -> None:
+    def __init__(self, descriptor: int, vm: str) -> None:
         self._descriptor = descriptor
+        self._vm = vm
         self._lines: deque[bytes] = deque()
         self._rest = b""
         self._tokens = float(BURST_LINES)
@@ -54,7 +56,7 @@
         if len(self._lines) >= MOST_WAITING:
             self._drop(kind)
             return
-        eliot.log_message(message_type=kind, **event._asdict())
+        eliot.log_message(message_type=kind, vm=self._vm, **event._asdict())
 
     async def run(self) -> None:
         """Write what waits from time to time; runs until cancelled."""
@@ -70,7 +72,7 @@
         if self._dropped and now - self._reported_at >= REPORT_SECONDS:
             self._reported_at = now
             dropped, self._dropped = self._dropped, {}
-            eliot.log_message(message_type="LinesDropped", **dropped)
+            eliot.log_message(message_type="LinesDropped", vm=self._vm, **dropped)
         while self._rest or self._lines:
             self._fill()
             try:
