Constants and a setting that nothing reads go

Cause: left behind by steps of the first path that were not kept (a pause before a request that was shed goes elsewhere, a time for refused callers, the drain bound, which is kept by acting at once). No behaviour changes; the tests of forwarding, transport, platform and daemon pass.

--- a/auburncart/coordination/forwarding/attempts.py
+++ b/auburncart/coordination/forwarding/attempts.py
@@ -17,7 +17,6 @@
 __all__ = ["Attempts", "Outcome", "Plan", "Tools"]
 
 MOST_UNSENT = 4  # tries that no replica saw, after which connecting is given up
-SHED_PAUSE_SECONDS = 0.02  # before a request that was shed goes to another replica: a short task
 NO_REPLICA = Failure(Step.ROUTE, "", "no replica may be asked", FailureCode.UNREACHABLE, False)
 ILL = range(500, 600)
 
--- a/auburncart/platform/settings.py
+++ b/auburncart/platform/settings.py
@@ -27,7 +27,6 @@
     retryWindowS: float = 10.0  # noqa: N815
     retrySlack: float = 50.0  # noqa: N815
     graceS: float = 6.0  # noqa: N815
-    drainMs: float = 3000.0  # noqa: N815
 
 
 class _Settings(msgspec.Struct):
@@ -70,6 +69,5 @@
             retry_ratio=bounds.retryRatio,
             retry_window_seconds=bounds.retryWindowS,
             retry_slack=bounds.retrySlack,
-            drain_seconds=bounds.drainMs / 1000.0,
         ),
     )
--- a/auburncart/settings/forward.py
+++ b/auburncart/settings/forward.py
@@ -11,13 +11,11 @@
     :param retry_ratio: extra requests to a service for each request for it.
     :param retry_window_seconds: time in which both are counted.
     :param retry_slack: extra requests beyond that.
-    :param drain_seconds: time after which a leaving replica must get nothing new.
     """
 
     retry_ratio: float = 0.2
     retry_window_seconds: float = 10.0
     retry_slack: float = 50.0
-    drain_seconds: float = 3.0
 
 
 class ForwardSettings(NamedTuple):
--- a/auburncart/transport/address.py
+++ b/auburncart/transport/address.py
@@ -1,4 +1,4 @@
-"""Addresses of this machine."""
+"""Addresses of this VM."""
 
 import socket
 
@@ -6,7 +6,7 @@
 
 
 def own_address(towards: str) -> str:
-    """Return the IP number from which this machine reaches ``"IP:port"``; sends nothing.
+    """Return the IP number from which this VM reaches ``"IP:port"``; sends nothing.
 
     >>> own_address("127.0.0.1:9")
     '127.0.0.1'
--- a/auburncart/transport/front.py
+++ b/auburncart/transport/front.py
@@ -20,7 +20,6 @@
 MOST_PIPELINED = 4  # requests read ahead of their turn on one connection
 BACKLOG = 1024  # a burst of new connections must not drop opening packets, sent again after 1 s
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-CLOSING_SECONDS = 1.0  # for a refused caller to read its answer before the connection is reset
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -80,7 +79,7 @@
         )
 
     def hand_back(self) -> None:
-        """Close each connection after its next reply; requests are still taken."""
+        """Do nothing: each connection sees by its next reply that the VM is leaving."""
 
     async def stop(self) -> None:
         """Stop listening and end all connections."""
