A question to a reader that is given up closes its websocket

Cause, seen on reading the change: since all readers are asked at once, the slower question is cancelled when the first brings news; its websocket had been taken out of the kept ones and was dropped open, one for each change. The same held for a question that ran out of time. Change: the websocket is closed where its question is given up. Test: test_relay.py over real sockets, 5 connections left before, none after.

--- a/auburncart/transport/relay.py
+++ b/auburncart/transport/relay.py
@@ -64,9 +64,14 @@
         key = (address, question.kind)
         try:
             socket = self._sockets.pop(key, None) or await self._open(address)
-            async with asyncio.timeout(question.wait + ANSWER_SECONDS):
-                await socket.send(encode_question(question))
-                data = await socket.recv(decode=False)
+            try:
+                async with asyncio.timeout(question.wait + ANSWER_SECONDS):
+                    await socket.send(encode_question(question))
+                    data = await socket.recv(decode=False)
+            except BaseException:
+                # Its answer may still come, and must not be taken for the next one.
+                socket.transport.abort()
+                raise
         except (OSError, TimeoutError, WebSocketException) as error:
             reason = f"{type(error).__name__}: {error}"
             raise LinkError(reason, step="relay", peer=address) from error
