--- /dev/null
+++ b/auburncart/daemon/tests/soak/store.py
@@ -0,0 +1,152 @@
+"""Stand-in for the platform's store, by its published protocol, with failures on command."""
+
+import asyncio
+import json
+import random
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs, unquote, urlsplit
+
+from auburncart.daemon.tests.soak.wire import Message, read_message, reply
+from auburncart.transport.client import split_address
+
+__all__ = ["Store"]
+
+FIRST_REVISION = 10
+PAGE_ITEMS = 5  # small, so that lists have several pages
+LATE_SECONDS = 2.0  # after which a write whose answer was lost may still be done
+
+
+class _Change(NamedTuple):
+    revision: int
+    kind: str
+    held: dict[str, Any]
+    deleted: bool
+
+
+class Store:
+    """Objects by kind and name, with their history.
+
+    :param address: ``"IP:port"`` at which it listens.
+    :param rng: source of the faults' chances.
+    """
+
+    def __init__(self, address: str, rng: random.Random) -> None:
+        self.address = address
+        self._rng = rng
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._history: list[_Change] = []
+        self._revision = FIRST_REVISION
+        self._oldest = FIRST_REVISION
+        self._changed = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.delay = 0.0
+        self.busy = 0  # status of every reply, 0 for none
+        self.silent = False
+        self.lost_share = 0.0
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, *split_address(self.address))
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def heal(self) -> None:
+        self.delay, self.busy, self.silent, self.lost_share = 0.0, 0, False, 0.0
+
+    def forget(self) -> None:
+        """Drop the history: watches from before get 410."""
+        self._history.clear()
+        self._oldest = self._revision
+
+    def write(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object as the operator or a replica does."""
+        self._revision += 1
+        held = {"meta": {"name": name, "rev": self._revision}, "spec": spec}
+        self._objects[kind, name] = held
+        self._note(_Change(self._revision, kind, held, False))
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object if it is there."""
+        held = self._objects.pop((kind, name), None)
+        if held is not None:
+            self._revision += 1
+            self._note(_Change(self._revision, kind, held, True))
+
+    def _note(self, change: _Change) -> None:
+        self._history.append(change)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                call = await read_message(reader)
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                if self.silent:
+                    return
+                if self.busy:
+                    writer.write(reply(self.busy))
+                    continue
+                lost = call.start[0] != "GET" and self._rng.random() < self.lost_share
+                if lost and self._rng.random() < 0.5:
+                    await asyncio.sleep(LATE_SECONDS)
+                status, body = await self._answer(call)
+                if lost:
+                    return
+                writer.write(reply(status, json.dumps(body).encode()))
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
+            pass  # the caller has left, or the run is over
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, call: Message) -> tuple[int, Any]:
+        parts = urlsplit(call.start[1])
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        _, _, kind, *rest = parts.path.split("/")
+        if call.start[0] == "GET" and "watch" in query:
+            return await self._watch(kind, int(query["watch"]), int(query["waitMs"]) / 1000.0)
+        if call.start[0] == "GET":
+            return 200, self._page(kind, query.get("after", ""))
+        return self._change(call, kind, unquote(rest[0]) if rest else "")
+
+    def _change(self, call: Message, kind: str, name: str) -> tuple[int, Any]:
+        if call.start[0] == "DELETE":
+            found = (kind, name) in self._objects
+            self.remove(kind, name)
+            return (200 if found else 404), {}
+        body = json.loads(call.body)
+        name = name or body["meta"]["name"]
+        if call.start[0] == "POST" and (kind, name) in self._objects:
+            return 409, self._objects[kind, name]
+        self.write(kind, name, body["spec"])
+        return 200, self._objects[kind, name]
+
+    def _page(self, kind: str, after: str) -> dict[str, Any]:
+        names = sorted(name for held, name in self._objects if held == kind and name > after)
+        items = [self._objects[kind, name] for name in names[:PAGE_ITEMS]]
+        return {"items": items, "hasMore": len(names) > PAGE_ITEMS, "atRev": self._revision}
+
+    async def _watch(self, kind: str, revision: int, wait: float) -> tuple[int, Any]:
+        deadline = asyncio.get_running_loop().time() + wait
+        while True:
+            if revision < self._oldest:
+                return 410, {}
+            events = [
+                {"object": change.held, "deleted": change.deleted}
+                for change in self._history
+                if change.revision > revision and change.kind == kind
+            ]
+            if events:
+                return 200, {"events": events, "atRev": self._revision}
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await self._changed.wait()
+            except TimeoutError:
+                return 200, {"events": [], "atRev": self._revision}
