--- a/auburncart/coordination/forwarding/tests/test_suspects.py
+++ b/auburncart/coordination/forwarding/tests/test_suspects.py
@@ -3,7 +3,7 @@
 import unittest
 
 from auburncart.coordination.forwarding.kinds import KindFollower
-from auburncart.coordination.forwarding.suspects import CRASHES
+from auburncart.coordination.forwarding.suspects import CRASHES, MOST_CONFIRMATIONS
 from auburncart.coordination.forwarding.tests.rig import Rig, one_service, request
 from auburncart.coordination.forwarding.tests.test_relay import StoreModel
 from auburncart.exception import StoreUnavailableError
@@ -17,11 +17,13 @@
 
 
 class CrashStore(StoreModel):
-    """Keeps reports of crashes."""
+    """Keeps reports of crashes, unless it is down."""
+
+    down = False
 
     async def put(self, kind: str, name: str, value: dict) -> None:
-        if kind != CRASHES:
-            raise StoreUnavailableError("another kind", step="store")
+        if kind != CRASHES or self.down:
+            raise StoreUnavailableError("another kind, or down", step="store")
         self.write(name, CrashReport(value["digest"]))
 
 
@@ -70,6 +72,34 @@
             self.assertIsInstance(other, Passed)
         self.assertEqual(sum(rig.reached("s/1") for rig in rigs), 3 + 12)
 
+    @virtual_time
+    async def test_a_crash_during_an_outage_is_told_when_the_store_is_back(self) -> None:
+        store = CrashStore()
+        store.down = True
+        rig = Rig(one_service(attempts=1), store=store)
+        rig.add("s", 1, crashing(ReplicaModel()))
+        await rig.gateway.answer(bad(1))
+        await asyncio.sleep(10.0)
+        store.down = False
+        await asyncio.sleep(2.0)
+        self.assertEqual(len((await store.list(CRASHES)).entries), 1)
+
+    @virtual_time
+    async def test_crashes_by_chance_do_not_hide_a_request_that_causes_them(self) -> None:
+        rig = Rig(one_service(attempts=1), store=CrashStore())
+        for number in range(MOST_CONFIRMATIONS):
+            model = rig.add("s", 1, ReplicaModel(reply=lambda asked: None))
+            model.reachable = False
+            rig.suspects.record_loss(request(100 + number), next(iter(rig.directory.pools)))
+        await asyncio.sleep(1.0)
+        model.reachable = True
+        crashing(model)
+        for number in range(4):
+            answer = await rig.gateway.answer(bad(number))
+            await asyncio.sleep(2.0 * DOWN_SECONDS)
+        assert isinstance(answer, Refusal)
+        self.assertIs(answer.ran, Ran.NO)
+
     @virtual_time
     async def test_a_connection_that_is_reset_is_no_crash(self) -> None:
         rig = Rig(one_service(attempts=1))
