A store that is silent no longer holds the end of a VM up past its grace

Change: the call has 0.25 s, half of the margin before the kill, and a log line when it was not enough; a process that ends by a failure stays listed, for it starts again at once. Before: the new test gets exit by signal after 3 s; after: exit code 0 within the grace.

--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -15,7 +15,7 @@
 from auburncart.coordination.forwarding.gateway import Gateway
 from auburncart.coordination.forwarding.kinds import WATCH_SECONDS, KindFollower, KindSink
 from auburncart.coordination.forwarding.relay import RelayClient, RelayedStore, RelayServer
-from auburncart.coordination.forwarding.roster import Roster
+from auburncart.coordination.forwarding.roster import ENTRY_VMS, Roster
 from auburncart.coordination.forwarding.sinks import ConfigurationSink, ReplicaSink
 from auburncart.coordination.forwarding.suspects import CRASHES, Suspects
 from auburncart.coordination.shutdown import Drain, Shutdown, ShutdownTimes
@@ -27,6 +27,7 @@
 from auburncart.state.crash import CrashReport
 from auburncart.state.entryvm import EntryVm
 from auburncart.state.event import (
+    DependencyLost,
     ReadinessChanged,
     Reloaded,
     Started,
@@ -46,6 +47,7 @@
 
 BALANCER_LAG_SECONDS = 2.2  # two questions a second apart take a VM out, and the way of the last
 STOP_MARGIN_SECONDS = 0.5  # before the process is killed: ends connections and writes the log
+LEAVE_SECONDS = 0.25  # half of that margin; the store answers in milliseconds
 EXIT_FAILED = 1
 CRASH_WATCH_SECONDS = 25.0  # below the 30 s of the store; a late report does little harm
 LOOK_SECONDS = 0.5  # between looks at the clock: half of the balancer's question interval
@@ -135,13 +137,13 @@
         bound = self._settings.grace_seconds - BALANCER_LAG_SECONDS - STOP_MARGIN_SECONDS
         times = ShutdownTimes(BALANCER_LAG_SECONDS, max(0.0, bound))
         cut_off = await Shutdown(self._drain, self._front, times).run()
+        await self._leave()
         seconds = asyncio.get_running_loop().time() - began
         self._journal.record(Stopped(seconds, cut_off))
         await self.stop()
 
     async def stop(self) -> None:
         """Stop serving at once, then end every connection."""
-        await self._roster.leave()
         await self._front.stop()
         await self._readiness.stop()
         await self._metrics.stop()
@@ -151,6 +153,15 @@
         self._store.close()
         self._log.flush()
 
+    async def _leave(self) -> None:
+        """Take this VM off the list; a store that does not answer must not hold the end up."""
+        try:
+            async with asyncio.timeout(LEAVE_SECONDS):
+                await self._roster.leave()
+        except TimeoutError:
+            reason = f"did not take this VM off the list within {LEAVE_SECONDS} s"
+            self._journal.record(DependencyLost(f"store {ENTRY_VMS}", reason))
+
     async def _serve_relay(self) -> None:
         """Answer other VMs once the tier is so large that some read for the others."""
         await self._roster.wait_until_large()
--- a/auburncart/daemon/tests/test_forward.py
+++ b/auburncart/daemon/tests/test_forward.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 SECONDS = 10.0
+GRACE_SECONDS = 3.0
 INTERPRETER_SECONDS = 0.1  # in which Python itself starts, and any signal ends it
 REPLICA_REPLY = (
     b"HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\nX-Server-Stamp: p\r\nContent-Length: 2\r\n\r\nhi"
@@ -31,6 +32,7 @@
         self.store = await asyncio.start_server(self.serve_store, "127.0.0.1", 0)
         self.front, self.ready, self.relay = free_port(), free_port(), free_port()
         self.delay = 0.0
+        self.silent = False
         self.folder = tempfile.TemporaryDirectory()
         self.path = Path(self.folder.name, "boot.json")
         self.settings = {
@@ -38,7 +40,7 @@
             "zones": {"dc1": "r1"}, "bootstrap": False, "portRange": [self.relay, self.relay],
             "listenAddrs": {"front": f"127.0.0.1:{self.front}", "ready": f"127.0.0.1:{self.ready}"},
             "platform": {"address": self.address(self.store)},
-            "contractParams": {"graceS": 3},
+            "contractParams": {"graceS": GRACE_SECONDS},
         }  # fmt: skip
         self.path.write_text(json.dumps(self.settings))
         self.process = await asyncio.create_subprocess_exec(
@@ -91,6 +93,8 @@
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 length = head.lower().partition("content-length: ")[2].partition("\r")[0]
                 await reader.readexactly(int(length or 0))
+                if self.silent:
+                    await asyncio.sleep(SECONDS)
                 target = head.split()[1]
                 if "watch=" in target:
                     await asyncio.sleep(1.0)
@@ -149,6 +153,14 @@
             self.assertIn(kind, kinds)
         self.assertEqual(kinds[-1], "Stopped")
 
+    async def test_a_store_that_is_silent_does_not_hold_the_end_up(self) -> None:
+        await self.until_ready()
+        self.silent = True
+        self.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(GRACE_SECONDS):
+            self.assertEqual(await self.process.wait(), 0)
+        self.assertEqual((await self.lines())[-1]["message_type"], "Stopped")
+
     async def test_sighup_while_it_starts_does_not_end_it(self) -> None:
         async def hang_up() -> None:
             while True:
