--- a/auburncart/daemon/tests/soak/world.py
+++ b/auburncart/daemon/tests/soak/world.py
@@ -42,9 +42,11 @@
 
     :param vms: number of VMs.
     :param folder: where logs are kept.
+    :param callers: number of callers.
     """
 
-    def __init__(self, seed: int, vms: int, folder: Path) -> None:
+    def __init__(self, seed: int, vms: int, folder: Path, callers: int = CALLERS) -> None:
+        self._callers = callers
         self.rng = random.Random(seed)
         self.ledger = Ledger()
         self._places = Places()
@@ -78,7 +80,7 @@
             while not all(vm.in_rotation for vm in self.vms):
                 await asyncio.sleep(0.05)
         self._tasks.append(asyncio.create_task(self._watch_clock()))
-        for _ in range(CALLERS):
+        for _ in range(self._callers):
             caller = Caller(self.pick_vm, self._kinds, self.ledger, self.rng)
             self._tasks.append(asyncio.create_task(caller.run()))
 
