A VM near the replicas asks those shards that a region lacks; answers are due by the caller's way

Change: from three such shards on, one question goes over a kept websocket (CBOR) to a VM beside the replicas, which asks them, hedges, and answers with one merged portion; later parts follow singly. The asker's configuration decides; a VM that leaves or does not hear from the store declines. Extra requests and connections are shared by the VMs that use them. Margins before the latency target follow the caller's connection and the number of shards.

The readers of a data centre no longer log each change between the two of them.

--- a/auburncart/coordination/forwarding/attempts.py
+++ b/auburncart/coordination/forwarding/attempts.py
@@ -14,8 +14,9 @@
 from auburncart.state.failure import Failure, FailureCode, Step
 from auburncart.state.forward import ForwardRequest, Reply
 
-__all__ = ["Attempts", "Outcome", "Plan", "Tools"]
+__all__ = ["HEDGE_SHARE", "Attempts", "Outcome", "Plan", "Tools"]
 
+HEDGE_SHARE = 0.45  # of the latency target: leaves a second replica as much time again
 MOST_UNSENT = 4  # tries that no replica saw, after which connecting is given up
 NO_REPLICA = Failure(Step.ROUTE, "", "no replica may be asked", FailureCode.UNREACHABLE, False)
 ILL = range(500, 600)
--- a/auburncart/coordination/forwarding/budget.py
+++ b/auburncart/coordination/forwarding/budget.py
@@ -34,12 +34,12 @@
     """This VM's share of the bounds, for each service.
 
     :param bounds: bounds of the whole tier.
-    :param vms: returns the number of VMs that share the slack.
+    :param share: returns this VM's part of the slack for a service.
     """
 
-    def __init__(self, bounds: BudgetBounds, vms: Callable[[], int]) -> None:
+    def __init__(self, bounds: BudgetBounds, share: Callable[[str], float]) -> None:
         self._bounds = bounds
-        self._vms = vms
+        self._share = share
         self._services: dict[str, deque[_Bucket]] = {}
         self._started_at = asyncio.get_running_loop().time()
 
@@ -52,7 +52,7 @@
         buckets = self._recent(service)
         requests = sum(bucket.requests for bucket in buckets)
         extras = sum(bucket.extras for bucket in buckets)
-        return SAFETY * (self._bounds.ratio * requests + self._slack()) - extras
+        return SAFETY * (self._bounds.ratio * requests + self._slack(service)) - extras
 
     def spend(self, service: str, *, reserve: float = 0.0) -> bool:
         """Count an extra request if the budget allows it.
@@ -64,10 +64,12 @@
         self._add(service, 0, 1)
         return True
 
-    def _slack(self) -> float:
+    def _slack(self, service: str) -> float:
         """Return this VM's slack; the process before this one may just have spent it."""
         uptime = asyncio.get_running_loop().time() - self._started_at
-        return self._bounds.slack / max(1, self._vms()) if uptime >= self._bounds.window else 0.0
+        if uptime < self._bounds.window:
+            return 0.0
+        return self._bounds.slack * self._share(service)
 
     def _add(self, service: str, requests: int, extras: int) -> None:
         buckets = self._recent(service)
--- a/auburncart/coordination/forwarding/directory.py
+++ b/auburncart/coordination/forwarding/directory.py
@@ -20,7 +20,8 @@
 
     :param distance: returns how far a data centre is: 0 here, 1 in this region, 2 elsewhere.
     :param dialer: opens connections to replicas.
-    :param share: returns the connections that this VM may hold to a replica of a service.
+    :param share: returns the connections that this VM may hold to a replica of a service in a
+        data centre.
     :param journal: told of every change.
     """
 
@@ -28,7 +29,7 @@
         self,
         distance: Callable[[str], int],
         dialer: ReplicaDialer,
-        share: Callable[[str], int],
+        share: Callable[[str, str], int],
         journal: Journal,
     ) -> None:
         self._distance = distance
@@ -39,6 +40,12 @@
         self._services: dict[str, list[ReplicaPool]] = {}
         self._lapsed: dict[str, float] = {}
         self._lenient_until = 0.0
+        self._generation = 0
+
+    @property
+    def generation(self) -> int:
+        """A number that grows with each change of the replicas that may be asked."""
+        return self._generation
 
     @property
     def size(self) -> int:
@@ -82,7 +89,7 @@
             entry,
             self._distance(entry.data_centre),
             self._dialer,
-            lambda: self._share(entry.service),
+            lambda: self._share(entry.service, entry.data_centre),
         )
         self._pools[entry.instance] = pool
         self._services.setdefault(entry.service, []).append(pool)
@@ -136,6 +143,7 @@
         self._record(pool.registration, change)
 
     def _record(self, entry: Registration, change: str) -> None:
+        self._generation += 1
         event = ReplicasChanged(
             entry.instance, entry.service, entry.address, change, len(self._pools)
         )
--- a/auburncart/coordination/forwarding/gateway.py
+++ b/auburncart/coordination/forwarding/gateway.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections.abc import Callable
 
-from auburncart.coordination.forwarding.attempts import Attempts, Outcome, Plan, Tools
+from auburncart.coordination.forwarding.attempts import HEDGE_SHARE, Attempts, Outcome, Plan, Tools
 from auburncart.coordination.forwarding.configuration import ConfigurationKeeper
+from auburncart.coordination.forwarding.delegation import Delegation
 from auburncart.coordination.forwarding.interfaces import Forwarder
 from auburncart.coordination.forwarding.scatter import Scatter
+from auburncart.coordination.forwarding.search import search_of
 from auburncart.coordination.forwarding.split import WeightedSplit
 from auburncart.coordination.shutdown import Drain
 from auburncart.state.configuration import Route
@@ -16,8 +18,9 @@
 
 __all__ = ["Gateway"]
 
-HEDGE_SHARE = 0.45  # of the latency target: leaves a second replica as much time again
-ANSWER_MARGIN_SECONDS = 0.02  # of the latency target: the way to the caller and back, twice
+ANSWER_MARGIN_SECONDS = 0.012  # of the latency target: the way to the caller and back, twice 3 ms
+SHARD_MARGIN_SECONDS = 0.0001  # besides, for each shard: its part is merged, its task ended
+CONNECT_MARGIN_SECONDS = 0.008  # besides, where the caller has just opened its connection
 DEADLINE_MARGIN_SECONDS = 0.02  # before a caller's deadline, so that the answer arrives in it
 RETRY_AFTER_SECONDS = 0.25  # a replica is ejected for about as long
 
@@ -29,6 +32,7 @@
     :param tools: what tries are made with.
     :param drain: the requests in flight.
     :param replicas_age: returns seconds since the store last confirmed the list of replicas.
+    :param delegation: knows VMs near the shards; None to ask all shards from here.
     """
 
     def __init__(
@@ -37,7 +41,9 @@
         tools: Tools,
         drain: Drain,
         replicas_age: Callable[[], float],
+        delegation: Delegation | None = None,
     ) -> None:
+        self._delegation = delegation
         self._keeper = keeper
         self._tools = tools
         self._drain = drain
@@ -90,15 +96,11 @@
         self, request: ForwardRequest, route: Route, until: float
     ) -> Merged | Refusal:
         self._record_route(request, route, f"{len(route.shards)} shards", until)
-        deliver_at = request.arrived + route.latency_target - ANSWER_MARGIN_SECONDS
-        scatter = Scatter(
-            request,
-            route,
-            self._tools,
-            HEDGE_SHARE * route.latency_target,
-            min(deliver_at, until),
-            until,
-        )
+        margin = ANSWER_MARGIN_SECONDS + SHARD_MARGIN_SECONDS * len(route.shards)
+        margin += request.opened * CONNECT_MARGIN_SECONDS
+        deliver_at = request.arrived + route.latency_target - margin
+        search = search_of(request, route, deliver_at, until)
+        scatter = Scatter(search, route.least_share, self._tools, self._delegation)
         answer = await scatter.run()
         if isinstance(answer, Refusal) and answer.ran is Ran.NO:
             return answer._replace(retry_after=RETRY_AFTER_SECONDS)
--- a/auburncart/coordination/forwarding/interfaces.py
+++ b/auburncart/coordination/forwarding/interfaces.py
@@ -5,7 +5,7 @@
 from auburncart.state.forward import ForwardAnswer, ForwardRequest, Reply
 from auburncart.state.registration import Registration
 
-__all__ = ["Forwarder", "ReplicaConnection", "ReplicaDialer"]
+__all__ = ["Forwarder", "ReplicaConnection", "ReplicaDialer", "VmListener"]
 
 
 class ReplicaConnection(ABC):
@@ -44,6 +44,18 @@
         """
 
 
+class VmListener(ABC):
+    """Takes other VMs' connections."""
+
+    @abstractmethod
+    async def start(self) -> None:
+        """Listen."""
+
+    @abstractmethod
+    async def stop(self) -> None:
+        """Stop listening and end all connections."""
+
+
 class Forwarder(ABC):
     """Answers callers' requests, whatever they came over."""
 
--- a/auburncart/coordination/forwarding/kinds.py
+++ b/auburncart/coordination/forwarding/kinds.py
@@ -143,6 +143,11 @@
         """Seconds since the store last said what it holds."""
         return asyncio.get_running_loop().time() - self._confirmed_at
 
+    @property
+    def connected(self) -> bool:
+        """Whether the objects are known, and the store answered when it was last asked."""
+        return self._revision is not None and self._lost_at is None
+
     @property
     def fresh(self) -> bool:
         """Whether other VMs may rely on what is known here."""
--- a/auburncart/coordination/forwarding/relay.py
+++ b/auburncart/coordination/forwarding/relay.py
@@ -127,6 +127,7 @@
         }
         answer: Changes | None = None
         forgotten = False
+        failure = ""
         pending = set(asked)
         try:
             while pending and not (answer and answer.entries):
@@ -134,15 +135,17 @@
                 for task in done:
                     try:
                         answer = self._better(answer, task.result())
-                        self._use(kind, asked[task].name, "")
+                        if self._sources.get(kind, DIRECT) == DIRECT:
+                            self._use(kind, asked[task].name, "")
                     except HistoryLostError:
                         forgotten = True
                     except LinkError as error:
-                        if answer is None:
-                            self._use(kind, DIRECT, str(error))
+                        failure = str(error)
         finally:
             for task in pending:
                 task.cancel()
+        if answer is None and failure:
+            self._use(kind, DIRECT, failure)
         if answer is None and forgotten:
             raise HistoryLostError(f"no reader knows changes of {kind} since {revision}")
         return answer
--- a/auburncart/coordination/forwarding/roster.py
+++ b/auburncart/coordination/forwarding/roster.py
@@ -46,6 +46,11 @@
         """Number of VMs by which shared budgets are divided."""
         return len(self._vms) if self._known.is_set() else ASSUMED_VMS
 
+    @property
+    def members(self) -> tuple[EntryVm, ...]:
+        """All VMs known, this one included."""
+        return self._vms
+
     @property
     def relays(self) -> bool:
         """Whether the tier is large enough for some VMs to read for the others."""
@@ -94,7 +99,11 @@
         await self._try(lambda: self._store.delete(ENTRY_VMS, self._own.name))
 
     async def _register(self) -> None:
-        own = {"data_centre": self._own.data_centre, "address": self._own.address}
+        own = {
+            "data_centre": self._own.data_centre,
+            "address": self._own.address,
+            "merge_address": self._own.merge_address,
+        }
         await self._store.put(ENTRY_VMS, self._own.name, own)
 
     async def _list(self) -> None:
--- a/auburncart/coordination/forwarding/routes.py
+++ b/auburncart/coordination/forwarding/routes.py
@@ -14,6 +14,7 @@
     def __init__(self, configuration: Configuration) -> None:
         self._configuration = configuration
         self._hosts: dict[str, dict[str, Route]] = {}
+        self._shards = frozenset(shard for route in configuration.routes for shard in route.shards)
         for route in configuration.routes:
             self._hosts.setdefault(route.host, {})[route.prefix] = route
 
@@ -22,6 +23,11 @@
         """The version that the routes come from."""
         return self._configuration
 
+    @property
+    def shards(self) -> frozenset[str]:
+        """Services that searches ask."""
+        return self._shards
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route whose prefix is the longest that begins the path, or None.
 
--- a/auburncart/coordination/forwarding/tests/rig.py
+++ b/auburncart/coordination/forwarding/tests/rig.py
@@ -1,12 +1,14 @@
 """A gateway over stand-in replicas, for tests on virtual time."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from auburncart.coordination.forwarding.attempts import Tools
 from auburncart.coordination.forwarding.budget import BudgetBounds, RetryBudget
 from auburncart.coordination.forwarding.choice import LeastWait
 from auburncart.coordination.forwarding.configuration import ConfigurationKeeper
+from auburncart.coordination.forwarding.delegation import Delegation
 from auburncart.coordination.forwarding.directory import Directory
 from auburncart.coordination.forwarding.gateway import Gateway
 from auburncart.coordination.forwarding.journal import Journal
@@ -53,22 +55,46 @@
 
 
 class Rig:
-    """One VM's gateway; replicas are named ``SERVICE/NUMBER``."""
-
-    def __init__(self, route: Route, connections: int = 4, store: KindStore | None = None) -> None:
+    """One VM's gateway; replicas are named ``SERVICE/NUMBER``.
+
+    :param distance: of all replicas from this VM.
+    :param replicas: shared with other VMs.
+    :param delegation: makes what hands searches over to other VMs.
+    """
+
+    def __init__(
+        self,
+        route: Route,
+        connections: int = 4,
+        store: KindStore | None = None,
+        *,
+        distance: int = 0,
+        replicas: FakeReplicas | None = None,
+        delegation: Callable[["Rig"], Delegation] | None = None,
+    ) -> None:
         self.journal = ListJournal()
-        self.replicas = FakeReplicas()
+        self.replicas = replicas or FakeReplicas()
         self.directory = Directory(
-            lambda data_centre: 0, self.replicas, lambda service: connections, self.journal
+            lambda data_centre: distance,
+            self.replicas,
+            lambda service, data_centre: connections,
+            self.journal,
         )
         self.keeper = ConfigurationKeeper(self.journal)
         names = [target.service for target in route.targets] + list(route.shards)
         services = {name: Service(name, 26) for name in names}
         self.keeper.install(Configuration(1, (route,), services, CallerLimits()))
-        self.budget = RetryBudget(BudgetBounds(), lambda: 1)
+        self.budget = RetryBudget(BudgetBounds(), lambda service: 1.0)
         self.suspects = Suspects(store or NoStore(), self.journal)
-        tools = Tools(self.directory, LeastWait(), self.budget, self.suspects, self.journal)
-        self.gateway = Gateway(self.keeper, tools, Drain(lambda: True), lambda: 0.0)
+        self.tools = Tools(self.directory, LeastWait(), self.budget, self.suspects, self.journal)
+        self.drain = Drain(lambda: True)
+        self.gateway = Gateway(
+            self.keeper,
+            self.tools,
+            self.drain,
+            lambda: 0.0,
+            delegation(self) if delegation else None,
+        )
 
     def add(self, service: str, number: int, model: ReplicaModel | None = None) -> ReplicaModel:
         """Put a replica up and list it."""
--- a/auburncart/coordination/forwarding/tests/test_budget.py
+++ b/auburncart/coordination/forwarding/tests/test_budget.py
@@ -17,7 +17,7 @@
 class BudgetTest(unittest.TestCase):
     @virtual_time
     async def test_all_vms_together_stay_within_the_bounds_of_the_tier(self) -> None:
-        budgets = [RetryBudget(BOUNDS, lambda: 9) for _ in range(9)]
+        budgets = [RetryBudget(BOUNDS, lambda service: 1.0 / 9) for _ in range(9)]
         await asyncio.sleep(BOUNDS.window)
         for budget in budgets:
             for _ in range(50):
@@ -28,16 +28,16 @@
 
     @virtual_time
     async def test_a_process_that_starts_anew_has_no_slack_before_a_window_has_passed(self) -> None:
-        first = RetryBudget(BOUNDS, lambda: 9)
+        first = RetryBudget(BOUNDS, lambda service: 1.0 / 9)
         await asyncio.sleep(BOUNDS.window)
         self.assertGreater(spend_all(first), 0)
-        second = RetryBudget(BOUNDS, lambda: 9)
+        second = RetryBudget(BOUNDS, lambda service: 1.0 / 9)
         await asyncio.sleep(0.9 * BOUNDS.window)
         self.assertEqual(spend_all(second), 0)
 
     @virtual_time
     async def test_extras_are_forgotten_no_earlier_than_after_the_window(self) -> None:
-        budget = RetryBudget(BOUNDS, lambda: 9)
+        budget = RetryBudget(BOUNDS, lambda service: 1.0 / 9)
         await asyncio.sleep(BOUNDS.window)
         spent = spend_all(budget)
         await asyncio.sleep(0.99 * BOUNDS.window)
--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -4,18 +4,22 @@
 import random
 import signal
 import sys
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Set
 from typing import Any
 
 from auburncart.coordination.forwarding.attempts import Tools
 from auburncart.coordination.forwarding.budget import BudgetBounds, RetryBudget
 from auburncart.coordination.forwarding.choice import LeastWait
 from auburncart.coordination.forwarding.configuration import ConfigurationKeeper
+from auburncart.coordination.forwarding.delegation import ELSEWHERE, Delegation, MergeLink
 from auburncart.coordination.forwarding.directory import Directory
 from auburncart.coordination.forwarding.gateway import Gateway
+from auburncart.coordination.forwarding.interfaces import VmListener
 from auburncart.coordination.forwarding.kinds import WATCH_SECONDS, KindFollower, KindSink
+from auburncart.coordination.forwarding.merging import MergeServer, merging_wanted
 from auburncart.coordination.forwarding.relay import RelayClient, RelayedStore, RelayServer
 from auburncart.coordination.forwarding.roster import ENTRY_VMS, Roster
+from auburncart.coordination.forwarding.share import connection_share, slack_share
 from auburncart.coordination.forwarding.sinks import ConfigurationSink, ReplicaSink
 from auburncart.coordination.forwarding.suspects import CRASHES, Suspects
 from auburncart.coordination.shutdown import Drain, Shutdown, ShutdownTimes
@@ -49,6 +53,7 @@
 STOP_MARGIN_SECONDS = 0.5  # before the process is killed: ends connections and writes the log
 LEAVE_SECONDS = 0.25  # half of that margin; the store answers in milliseconds
 EXIT_FAILED = 1
+MERGE_LOOK_SECONDS = 1.0  # VMs and replicas that start together are known some seconds later
 CRASH_WATCH_SECONDS = 25.0  # below the 30 s of the store; a late report does little harm
 LOOK_SECONDS = 0.5  # between looks at the clock: half of the balancer's question interval
 LEAST_SUSPENSION_SECONDS = 0.5  # shorter pauses no other side takes for an end
@@ -85,12 +90,14 @@
         bounds = settings.bounds
         budget = RetryBudget(
             BudgetBounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_seconds),
-            lambda: self._roster.vms,
+            self._slack_share,
         )
         self._drain = Drain(lambda: self._keeper.table is not None and self._replicas.listed)
         suspects = Suspects(self._store, self._journal)
         tools = Tools(self._directory, LeastWait(), budget, suspects, self._journal)
-        own = EntryVm(settings.name, settings.data_centre, settings.relay_address)
+        own = EntryVm(
+            settings.name, settings.data_centre, settings.relay_address, settings.merge_address
+        )
         self._roster = Roster(self._store, own, self._journal, first_start=settings.first_start)
         self._relayed = RelayedStore(self._store, _relay_client, self._roster, self._journal)
         self._followers = (
@@ -98,7 +105,22 @@
             self._follow(REPLICAS, self._replicas),
             self._follow(CRASHES, suspects, CRASH_WATCH_SECONDS),
         )
-        self._gateway = Gateway(self._keeper, tools, self._drain, lambda: self._followers[1].age)
+        self._delegation = Delegation(
+            settings.name,
+            self._directory,
+            self._roster,
+            settings.distance,
+            self._open_merge_link,
+            self._journal,
+        )
+        self._merge_server = MergeServer(tools, self._drain, lambda: self._followers[1].connected)
+        self._gateway = Gateway(
+            self._keeper,
+            tools,
+            self._drain,
+            lambda: self._followers[1].age,
+            self._delegation,
+        )
         self._front = ForwardServer(
             settings.front_address, self._gateway, PlatformCallerDialect(), self._limits
         )
@@ -109,6 +131,7 @@
             {METRICS_PATH: self._journal.page},
         )
         self._tasks: list[asyncio.Task[None]] = []
+        self._listeners: list[VmListener] = []
         self._watch_values()
 
     async def start(self) -> None:
@@ -118,6 +141,7 @@
             self._directory.run,
             self._roster.run,
             self._serve_relay,
+            self._serve_merging,
             self._look_at_itself,
             *(follower.run for follower in self._followers),
         )
@@ -149,6 +173,9 @@
         await self._metrics.stop()
         for task in self._tasks:
             task.cancel()
+        self._delegation.close()
+        for listener in self._listeners:
+            await listener.stop()
         self._directory.close()
         self._store.close()
         self._log.flush()
@@ -169,7 +196,33 @@
         from auburncart.transport.relay import RelayListener
 
         kinds = dict(zip(KIND_TYPES, self._followers, strict=True))
-        await RelayListener(self._settings.relay_address, RelayServer(kinds)).start()
+        await self._listen(RelayListener(self._settings.relay_address, RelayServer(kinds)))
+
+    async def _serve_merging(self) -> None:
+        """Ask shards for other VMs once there are some that have no replicas of them."""
+        wanted = False
+        while not wanted:
+            await asyncio.sleep(MERGE_LOOK_SECONDS)
+            wanted = merging_wanted(
+                self._keeper.table,
+                self._directory,
+                self._roster.members,
+                self._settings.data_centre,
+                self._settings.regions,
+            )
+        # Loaded only here, as for the relay.
+        from auburncart.transport.merge import MergeListener
+
+        await self._listen(MergeListener(self._settings.merge_address, self._merge_server))
+
+    async def _listen(self, listener: VmListener) -> None:
+        await listener.start()
+        self._listeners.append(listener)
+
+    def _open_merge_link(self, vm: EntryVm) -> MergeLink:
+        from auburncart.transport.merge import WebSocketMergeLink
+
+        return WebSocketMergeLink(vm, self._journal)
 
     async def _look_at_itself(self) -> None:
         """Notice a suspension of the VM, and a change of its readiness."""
@@ -246,10 +299,38 @@
         table = self._keeper.table
         return table.configuration.limits if table else CallerLimits()
 
-    def _share(self, service: str) -> int:
+    def _slack_share(self, service: str) -> float:
+        """Return this VM's part of the extra requests for a service.
+
+        VMs beside a shard's replicas ask it for the others; other services are asked by all VMs.
+        """
+        vms = self._roster.vms
+        table = self._keeper.table
+        if table is None or service not in table.shards:
+            return 1.0 / vms
+        regions = self._settings.regions
+        homes = {
+            regions.get(pool.registration.data_centre, "")
+            for pool in self._directory.candidates(service)
+        }
+        return slack_share(vms, self._count(homes), here=self._settings.region in homes)
+
+    def _share(self, service: str, data_centre: str) -> int:
         table = self._keeper.table
         known = table.configuration.services.get(service) if table else None
-        return max(1, known.most_connections // self._roster.vms) if known else 1
+        if known is None:
+            return 1
+        return connection_share(
+            known.most_connections,
+            self._roster.vms,
+            self._count({self._settings.regions.get(data_centre, "")}),
+            here=self._settings.distance(data_centre) < ELSEWHERE,
+        )
+
+    def _count(self, regions: Set[str]) -> int:
+        """Return the number of VMs in some regions."""
+        known = self._settings.regions
+        return sum(known.get(vm.data_centre) in regions for vm in self._roster.members)
 
 
 def _relay_client() -> RelayClient:
--- a/auburncart/daemon/tests/soak/promises.py
+++ b/auburncart/daemon/tests/soak/promises.py
@@ -36,6 +36,7 @@
 SERVED_SHARE = 0.95  # of the requests after the last fault and the settling time
 NOT_RUN = (408, 421, 429, 503)
 ONCE = "once"
+SEARCH = "search"
 
 
 class _Judge:
@@ -51,8 +52,11 @@
         return [f"{check.__name__[1:]}: {fault}" for check in self._CHECKS for fault in check(self)]
 
     def _calm(self, exchange: Exchange, end: float) -> bool:
+        """Whether the VMs that may work on a request are calm; a search may go to any of them."""
         start = exchange.sent_at - SETTLING_SECONDS
-        return self._ledger.calm(exchange.vm, start, end)
+        if exchange.route != SEARCH:
+            return self._ledger.calm(exchange.vm, start, end)
+        return not any(span.start <= end and span.end >= start for span in self._ledger.spans)
 
     def _runs(self, exchange: Exchange) -> list[Arrival]:
         return [one for one in self._arrivals.get(exchange.request_id, ()) if one.ran]
@@ -147,7 +151,7 @@
 
     def _fault_of(self, exchange: Exchange) -> str:
         """Return what is wrong with a success, or an empty string."""
-        if exchange.route == "search":
+        if exchange.route == SEARCH:
             return self._fault_of_parts(exchange)
         for run in self._runs(exchange):
             if exchange.fields.get("x-server-stamp") == proof(run.service, exchange.request_id):
@@ -165,7 +169,7 @@
         if "" in services or len(set(services)) != len(services):
             return f"stamps of {services}"
         sets = [
-            set(version.routes["search"]) for version in self._versions(exchange, exchange.ended_at)
+            set(version.routes[SEARCH]) for version in self._versions(exchange, exchange.ended_at)
         ]
         fits = [
             shards
@@ -217,8 +221,9 @@
             at = self._ledger.drained.get(arrival.instance)
             if at is None or not arrival.ran or arrival.at <= at + DRAIN_SECONDS:
                 continue
-            start = min(at, exchange.sent_at) - SETTLING_SECONDS
-            if self._ledger.calm(exchange.vm, start, arrival.at):
+            early = min(at, exchange.sent_at)
+            calm_since = self._ledger.calm(exchange.vm, early - SETTLING_SECONDS, exchange.sent_at)
+            if calm_since and self._calm(exchange, arrival.at):
                 late = arrival.at - at
                 yield f"{exchange} reached {arrival.instance} {late:.2f} s after it drained"
 
--- a/auburncart/daemon/tests/soak/vm.py
+++ b/auburncart/daemon/tests/soak/vm.py
@@ -40,6 +40,7 @@
         self.data_centre = data_centre
         self._ip = places.host()
         self.boot = 0
+        self._launched_at = 0.0
         self.in_rotation = False
         self.stopping = False
         self.ended: list[str] = []
@@ -67,6 +68,7 @@
         """Start the process."""
         self.write_settings(first=first)
         self.boot += 1
+        self._launched_at = asyncio.get_running_loop().time()
         self.stopping = False
         # Logs are appended to, so that all boots can be read.
         with self._log.open("ab") as log, self._errors.open("ab") as errors:
@@ -140,7 +142,8 @@
         """Note an end that nobody asked for."""
         code = await process.wait()
         if not self.stopping:
-            self.ended.append(f"{self.name} ended by itself with {code}")
+            seconds = asyncio.get_running_loop().time() - self._launched_at
+            self.ended.append(f"{self.name} ended by itself with {code}, {seconds:.3f} s old")
 
     async def _balance(self) -> None:
         """Ask once a second whether it takes new callers."""
--- a/auburncart/daemon/tests/soak/world.py
+++ b/auburncart/daemon/tests/soak/world.py
@@ -25,6 +25,11 @@
 TOP = 5
 DATA_CENTRES = ("dc1", "dc2")
 SHARDS = (("a0", "a1", "a2", "a3"), ("b0", "b1", "b2"))  # before and after a repartition
+# Most shards stand in one region, so that VMs of the other one have them asked there.
+HOMES = {
+    **dict.fromkeys(SHARDS[0][1:], ("dc1", "dc1")),
+    **dict.fromkeys(SHARDS[1], ("dc2", "dc2")),
+}
 ONCE = ("o1", "o2")
 FETCH = ("f1", "f2")
 CALLERS = 10
@@ -72,7 +77,7 @@
     async def start(self) -> None:
         await self.store.start()
         for service in (*SHARDS[0], *SHARDS[1], *ONCE, *FETCH):
-            for data_centre in DATA_CENTRES:
+            for data_centre in HOMES.get(service, DATA_CENTRES):
                 await self.add_replica(service, data_centre)
         self.publish()
         await asyncio.gather(*(vm.start(first=True) for vm in self.vms))
--- a/auburncart/platform/settings.py
+++ b/auburncart/platform/settings.py
@@ -63,6 +63,7 @@
         store_address=body.platform.address,
         metrics_address=f"{body.ipAddr}:{METRICS_PORT}",
         relay_address=f"{body.ipAddr}:{body.portRange[0]}",
+        merge_address=f"{body.ipAddr}:{body.portRange[0] + 1}",
         first_start=body.bootstrap,
         grace_seconds=bounds.graceS,
         bounds=TierBounds(
--- a/auburncart/platform/store.py
+++ b/auburncart/platform/store.py
@@ -51,7 +51,9 @@
     CONFIGURATION: lambda name, spec: decode_configuration(spec),
     REPLICAS: decode_registration,
     CRASHES: lambda name, spec: CrashReport(spec["digest"]),
-    ENTRY_VMS: lambda name, spec: EntryVm(name, spec["data_centre"], spec["address"]),
+    ENTRY_VMS: lambda name, spec: EntryVm(
+        name, spec["data_centre"], spec["address"], spec.get("merge_address", "")
+    ),
 }
 
 
--- a/auburncart/settings/forward.py
+++ b/auburncart/settings/forward.py
@@ -30,6 +30,7 @@
     :param store_address: ``"IP:port"`` of the platform's store.
     :param metrics_address: ``"IP:port"`` on which metrics are read.
     :param relay_address: ``"IP:port"`` on which other VMs of the data centre reach this one.
+    :param merge_address: ``"IP:port"`` on which VMs of other regions have searches merged.
     :param first_start: whether all VMs of the tier start for the first time now.
     :param grace_seconds: time between SIGTERM and the end of the process.
     :param bounds: bounds that all VMs keep together.
@@ -44,6 +45,7 @@
     store_address: str
     metrics_address: str
     relay_address: str
+    merge_address: str
     first_start: bool = False
     grace_seconds: float = 6.0
     bounds: TierBounds = TierBounds()
--- a/auburncart/state/entryvm.py
+++ b/auburncart/state/entryvm.py
@@ -11,8 +11,10 @@
     :param name: name of the VM, unique in the tier.
     :param data_centre: data centre in which it runs.
     :param address: ``"IP:port"`` on which it relays the store's changes to others.
+    :param merge_address: ``"IP:port"`` on which it merges searches for others, ``""`` for none.
     """
 
     name: str
     data_centre: str
     address: str
+    merge_address: str = ""
--- a/auburncart/state/event.py
+++ b/auburncart/state/event.py
@@ -9,12 +9,15 @@
     "Answered",
     "ConfigurationInForce",
     "CrashConfirmed",
+    "Delegated",
+    "DelegationFailed",
     "DependencyLost",
     "DependencyRegained",
     "EntryUnreadable",
     "Event",
     "Hedged",
     "Left",
+    "MergedForPeer",
     "ReadinessChanged",
     "Refused",
     "ReplicasChanged",
@@ -42,6 +45,34 @@
     time_left: float
 
 
+class Delegated(NamedTuple):
+    """A VM was asked for the shards that have no replica here but some there."""
+
+    request: str
+    helper: str
+    shards: int
+
+
+class DelegationFailed(NamedTuple):
+    """A VM gave no answer; its shards are asked from here if that keeps to the route's tries."""
+
+    request: str
+    helper: str
+    reason: str
+    sent: bool
+    seconds: float
+
+
+class MergedForPeer(NamedTuple):
+    """This VM asked shards for another VM, and told it the parts that were there in time."""
+
+    request: str
+    asker: str
+    seconds: float
+    parts: int
+    missing_shards: tuple[str, ...]
+
+
 class Hedged(NamedTuple):
     """A second replica was asked, or would have been but for the budget."""
 
@@ -219,6 +250,9 @@
 
 Event = (
     Routed
+    | Delegated
+    | DelegationFailed
+    | MergedForPeer
     | Hedged
     | TryFailed
     | Retried
--- a/auburncart/state/forward.py
+++ b/auburncart/state/forward.py
@@ -4,7 +4,7 @@
 
 from auburncart.state.failure import Failure, Refusal
 
-__all__ = ["Field", "ForwardAnswer", "ForwardRequest", "Merged", "Passed", "Reply"]
+__all__ = ["Field", "ForwardAnswer", "ForwardRequest", "Merged", "Passed", "Portion", "Reply"]
 
 Field = tuple[bytes, bytes]
 
@@ -22,6 +22,7 @@
     :param arrived: loop time in seconds at which its head was complete.
     :param deadline: loop time in seconds after which the caller no longer waits.
     :param caller: ``"IP:port"`` of the caller.
+    :param opened: whether the caller has just opened its connection, which took it some time.
     """
 
     request_id: str
@@ -34,6 +35,7 @@
     arrived: float
     deadline: float
     caller: str = ""
+    opened: bool = False
 
 
 class Reply(NamedTuple):
@@ -70,6 +72,21 @@
     reply: Reply
 
 
+class Portion(NamedTuple):
+    """Some shards' parts of a search, merged.
+
+    :param shards: shards whose parts are in.
+    :param body: their greatest records, greatest first.
+    :param stamps: proofs of the parts, in the order of the shards.
+    :param failures: why other shards have no part, by their names.
+    """
+
+    shards: tuple[str, ...]
+    body: bytes
+    stamps: tuple[bytes, ...]
+    failures: dict[str, Failure]
+
+
 class Merged(NamedTuple):
     """The greatest records of several shards' parts.
 
--- a/auburncart/transport/front.py
+++ b/auburncart/transport/front.py
@@ -102,6 +102,7 @@
         self._waiter: asyncio.Future[None] | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._failed = False
+        self._opened = True
         self._peer = ""
         self._timer: asyncio.TimerHandle | None = None
         self._reset()
@@ -234,7 +235,8 @@
         except InputError as error:
             self._write(WireReply(400, b"", (), str(error).encode()), keep=False)
             return False
-        answer = await self._server.forwarder.answer(request)
+        opened, self._opened = self._opened, False
+        answer = await self._server.forwarder.answer(request._replace(opened=opened))
         keep = received.keep and not self._server.forwarder.leaving
         self._write(dialect.reply(answer), keep=keep, bodiless=received.head.method == "HEAD")
         return keep
--- a/auburncart/transport/journal.py
+++ b/auburncart/transport/journal.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from auburncart.coordination.forwarding.journal import Journal
-from auburncart.state.event import Answered, Event, Hedged, Routed
+from auburncart.state.event import Answered, Delegated, Event, Hedged, MergedForPeer, Routed
 
 __all__ = ["EliotJournal"]
 
@@ -20,7 +20,13 @@
 WRITE_BYTES = 65536  # capacity of a pipe
 FLUSH_SECONDS = 0.25  # between writes; joins the lines of some requests into one call
 REPORT_SECONDS = 5.0  # between reports of dropped lines
-ROUTINE = (Routed, Answered, Hedged)  # may be dropped for the sake of failures and beliefs
+ROUTINE = (
+    Routed,
+    Answered,
+    Hedged,
+    Delegated,
+    MergedForPeer,
+)  # may be dropped for the sake of failures and beliefs
 
 
 class EliotJournal(Journal):
--- a/auburncart/transport/relay.py
+++ b/auburncart/transport/relay.py
@@ -8,6 +8,7 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
+from auburncart.coordination.forwarding.interfaces import VmListener
 from auburncart.coordination.forwarding.kinds import Changes, Page
 from auburncart.coordination.forwarding.relay import RelayClient, RelayServer
 from auburncart.exception import (
@@ -92,7 +93,7 @@
         )
 
 
-class RelayListener:
+class RelayListener(VmListener):
     """Answers other VMs, with one task for each of their websockets.
 
     :param address: ``"IP:port"`` to listen on.
@@ -113,8 +114,12 @@
 
     async def stop(self) -> None:
         """Stop listening and end all websockets."""
-        if self._listener is not None:
-            self._listener.close()
+        if self._listener is None:
+            return
+        self._listener.close()
+        for socket in list(self._listener.connections):
+            socket.transport.abort()
+        await self._listener.wait_closed()
 
     async def _serve(self, socket: ServerConnection) -> None:
         """Answer one question after the other."""
--- /dev/null
+++ b/auburncart/transport/tests/test_merge.py
@@ -0,0 +1,142 @@
+import asyncio
+import contextlib
+import unittest
+from collections.abc import AsyncIterator
+
+from auburncart.coordination.forwarding.tests.rig import ListJournal
+from auburncart.daemon.tests.soak.link import Link, Places
+from auburncart.exception import LinkError, LinkTimeoutError, ProtocolError
+from auburncart.protocol.merge import decode_answer, decode_question
+from auburncart.state.entryvm import EntryVm
+from auburncart.state.event import DependencyLost, DependencyRegained
+from auburncart.state.failure import Failure, FailureCode, Step
+from auburncart.state.forward import Portion
+from auburncart.state.merge import Declined, MergeAnswer, MergeQuestion
+from auburncart.transport.merge import MergeListener, WebSocketMergeLink
+
+SECONDS = 5.0
+SHARDS = ("a", "b", "c", "d")
+LOST = Failure(Step.REPLY, "10.0.0.9:1", "lost", FailureCode.LOST, True)
+FIRST = Portion(("a", "b"), b"x" * 32, (b"one", b"two"), {"c": LOST})
+SECOND = Portion(("d",), b"y" * 16, (b"four",), {})
+ANSWERS: dict[str, tuple[MergeAnswer, ...]] = {
+    "0": (FIRST, SECOND),
+    "1": (Declined("version 3 is in force here, not 4"),),
+    "2": (Portion((), b"", (), dict.fromkeys(SHARDS, LOST)),),
+}
+
+
+def question(name: str) -> MergeQuestion:
+    fields = ((b"A", b"\xff"),)
+    return MergeQuestion(
+        SHARDS, 1, 2, 5, 0.05, name, "GET", "h", b"/a?b", fields, b"", "1.2.3.4:5", 0.1, 1.0, 2.0
+    )
+
+
+class Server:
+    """Answers by the request's identifier; works for good on those it does not know."""
+
+    def __init__(self) -> None:
+        self.working = 0
+
+    async def answer(self, asked: MergeQuestion, asker: str) -> AsyncIterator[MergeAnswer]:
+        for answer in ANSWERS.get(asked.request_id, ()):
+            yield answer
+        if asked.request_id in ANSWERS:
+            return
+        self.working += 1
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.working -= 1
+
+
+class MergeSocketTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        places = Places()
+        self.server = Server()
+        self.listener = MergeListener(places.port(), self.server)  # type: ignore[arg-type]
+        await self.listener.start()
+        self.proxy = Link(places.port(), self.listener._address)
+        await self.proxy.start()
+        self.journal = ListJournal()
+        vm = EntryVm("vm", "dc", "", self.proxy.address)
+        self.link = WebSocketMergeLink(vm, self.journal)
+        await self.until_usable()
+
+    async def asyncTearDown(self) -> None:
+        self.link.close()
+        self.proxy.stop()
+        await self.listener.stop()
+
+    async def until_usable(self) -> None:
+        async with asyncio.timeout(SECONDS):
+            while not self.link.usable:
+                await asyncio.sleep(0.01)
+
+    async def ask(self, name: str, patience: float = 1.0) -> tuple[MergeAnswer, ...]:
+        async with contextlib.aclosing(self.link.ask(question(name), patience)) as answers:
+            return tuple([answer async for answer in answers])
+
+    async def until_working(self, count: int) -> None:
+        async with asyncio.timeout(SECONDS):
+            while self.server.working != count:
+                await asyncio.sleep(0.01)
+
+    async def test_every_kind_of_answer_arrives(self) -> None:
+        asked = [self.ask(name) for name in ANSWERS]
+        self.assertEqual(await asyncio.gather(*asked), list(ANSWERS.values()))
+        self.assertEqual(self.link.outstanding, 0)
+
+    async def test_a_search_that_is_withdrawn_ends_and_the_link_goes_on(self) -> None:
+        task = asyncio.create_task(self.ask("long"))
+        await self.until_working(1)
+        task.cancel()
+        await self.until_working(0)
+        self.assertEqual(await self.ask("2"), ANSWERS["2"])
+
+    async def test_a_search_that_takes_long_at_a_vm_that_lives_is_waited_for(self) -> None:
+        task = asyncio.create_task(self.ask("long", 0.05))
+        await asyncio.sleep(0.5)
+        self.assertFalse(task.done())
+        self.assertTrue(self.link.usable)
+        task.cancel()
+
+    async def test_a_vm_that_stands_still_is_given_up(self) -> None:
+        self.proxy.cut("there", "back")
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        with self.assertRaises(LinkTimeoutError):
+            await self.ask("0", 0.1)
+        self.assertLess(loop.time() - began, 0.5)
+        with self.assertRaises(LinkError) as caught:
+            await self.ask("0", 0.1)
+        self.assertEqual(caught.exception.step, "connect")
+        self.proxy.heal()
+        await self.until_usable()
+        self.assertEqual(await self.ask("0"), ANSWERS["0"])
+        kinds = [type(event) for event in self.journal.events]
+        self.assertEqual(kinds, [DependencyLost, DependencyRegained])
+
+    async def test_searches_end_with_their_link(self) -> None:
+        task = asyncio.create_task(self.ask("long"))
+        await self.until_working(1)
+        self.proxy.reset()
+        with self.assertRaises(LinkError):
+            await task
+        await self.until_working(0)
+
+
+class MergeMessageTest(unittest.TestCase):
+    def test_bytes_of_another_form_are_refused(self) -> None:
+        for data in (
+            b"",
+            b"\xff",
+            b"\x80",
+            b"\x82\x01\x61a",
+            b"\x83\x01\x61x\x80",
+            b"\x82\x61a\xf6",
+        ):
+            with self.subTest(data):
+                self.assertRaises(ProtocolError, decode_question, data)
+                self.assertRaises(ProtocolError, decode_answer, data)
