A search for which too few shards have replicas is refused before any is asked

Some shards were asked all the same, so that the refusal could not say that nothing had run, and its caller came back at once, in vain. Ruled out: the retry budget (no shard was asked twice), readiness (no VM was better off). Change: such a search is refused as not run, and its caller, like that of a service without replicas, is told to come back in a second: entries that lapsed are back within two. Test: asks for the refusal and for no arrival; it fails first (failed, unknown). The test of too few parts used shards without replicas, which are refused earlier now; its replicas break off instead.

--- a/auburncart/coordination/forwarding/attempts.py
+++ b/auburncart/coordination/forwarding/attempts.py
@@ -14,7 +14,7 @@
 from auburncart.state.failure import Failure, FailureCode, Step
 from auburncart.state.forward import ForwardRequest, Reply
 
-__all__ = ["HEDGE_SHARE", "Attempts", "Outcome", "Plan", "Tools"]
+__all__ = ["HEDGE_SHARE", "NO_REPLICA", "Attempts", "Outcome", "Plan", "Tools"]
 
 HEDGE_SHARE = 0.45  # of the latency target: leaves a second replica as much time again
 MOST_UNSENT = 4  # tries that no replica saw, after which connecting is given up
--- a/auburncart/coordination/forwarding/gateway.py
+++ b/auburncart/coordination/forwarding/gateway.py
@@ -3,11 +3,18 @@
 import asyncio
 from collections.abc import Callable
 
-from auburncart.coordination.forwarding.attempts import HEDGE_SHARE, Attempts, Outcome, Plan, Tools
+from auburncart.coordination.forwarding.attempts import (
+    HEDGE_SHARE,
+    NO_REPLICA,
+    Attempts,
+    Outcome,
+    Plan,
+    Tools,
+)
 from auburncart.coordination.forwarding.configuration import ConfigurationKeeper
 from auburncart.coordination.forwarding.delegation import Delegation
 from auburncart.coordination.forwarding.interfaces import Forwarder
-from auburncart.coordination.forwarding.scatter import Scatter
+from auburncart.coordination.forwarding.scatter import RETURN_RETRY_SECONDS, Scatter
 from auburncart.coordination.forwarding.search import search_of
 from auburncart.coordination.forwarding.split import WeightedSplit
 from auburncart.coordination.shutdown import Drain
@@ -102,7 +109,7 @@
         search = search_of(request, route, deliver_at, until)
         scatter = Scatter(search, route.least_share, self._tools, self._delegation)
         answer = await scatter.run()
-        if isinstance(answer, Refusal) and answer.ran is Ran.NO:
+        if isinstance(answer, Refusal) and answer.ran is Ran.NO and not answer.retry_after:
             return answer._replace(retry_after=RETRY_AFTER_SECONDS)
         return answer
 
@@ -134,9 +141,10 @@
             code = RefusalCode.UNAVAILABLE
             if failure.code is FailureCode.SHED:
                 code = RefusalCode.OVERLOADED
-            return Refusal(
-                code, failure.reason, Ran.NO, RETRY_AFTER_SECONDS, failure.step, failure.peer
-            )
+            retry_after = RETRY_AFTER_SECONDS
+            if failure is NO_REPLICA:
+                retry_after = RETURN_RETRY_SECONDS
+            return Refusal(code, failure.reason, Ran.NO, retry_after, failure.step, failure.peer)
         code = RefusalCode.FAILED
         if failure.code is FailureCode.TIMED_OUT:
             code = RefusalCode.TIMED_OUT
--- a/auburncart/coordination/forwarding/scatter.py
+++ b/auburncart/coordination/forwarding/scatter.py
@@ -12,10 +12,12 @@
     merge_portions,
 )
 from auburncart.coordination.forwarding.search import Search
-from auburncart.state.failure import Failure, Ran, Refusal, RefusalCode
+from auburncart.state.failure import Failure, Ran, Refusal, RefusalCode, Step
 from auburncart.state.forward import Merged, Portion
 
-__all__ = ["Scatter"]
+__all__ = ["RETURN_RETRY_SECONDS", "Scatter"]
+
+RETURN_RETRY_SECONDS = 1.0  # replicas whose entries lapsed are listed again within two seconds
 
 
 class Scatter:
@@ -31,6 +33,7 @@
         self, search: Search, least_share: float, tools: Tools, delegation: Delegation | None
     ) -> None:
         self._search = search
+        self._directory = tools.directory
         self._gathering = Gathering(search, tools, delegation)
         self._needed = max(1, math.ceil(least_share * len(search.shards) - 1e-9))
         self._portions: list[Portion] = []
@@ -39,6 +42,12 @@
 
     async def run(self) -> Merged | Refusal:
         """Ask all shards and return the merged answer."""
+        lacking = [shard for shard in self._search.shards if not self._directory.candidates(shard)]
+        if len(self._search.shards) - len(lacking) < self._needed:
+            reason = f"{len(lacking)} of {len(self._search.shards)} shards have no replica"
+            return Refusal(
+                RefusalCode.UNAVAILABLE, reason, Ran.NO, RETURN_RETRY_SECONDS, Step.ROUTE
+            )
         deliver_at, until = self._search.deliver_at, self._search.until
         self._gathering.start()
         try:
--- a/auburncart/coordination/forwarding/tests/test_gateway.py
+++ b/auburncart/coordination/forwarding/tests/test_gateway.py
@@ -170,12 +170,23 @@
 
     @virtual_time
     async def test_too_few_parts_are_no_answer(self) -> None:
+        rig = Rig(search(4))
+        for number in range(4):
+            rig.add(f"s{number}", 1, ReplicaModel(reply=stamped(number) if number < 2 else broken))
+        answer = await rig.gateway.answer(request())
+        assert isinstance(answer, Refusal)
+        self.assertEqual(answer.ran, Ran.UNKNOWN)
+
+    @virtual_time
+    async def test_a_search_with_too_few_replicas_is_refused_before_any_is_asked(self) -> None:
         rig = Rig(search(4))
         for number in range(2):
             rig.add(f"s{number}", 1, ReplicaModel(reply=stamped(number)))
         answer = await rig.gateway.answer(request())
         assert isinstance(answer, Refusal)
-        self.assertEqual(answer.ran, Ran.UNKNOWN)
+        self.assertEqual((answer.code, answer.ran), (RefusalCode.UNAVAILABLE, Ran.NO))
+        self.assertGreaterEqual(answer.retry_after, 1.0)
+        self.assertEqual(rig.replicas.arrivals, [])
 
     @virtual_time
     async def test_a_failure_of_a_replica_is_no_part(self) -> None:
