--- a/auburncart/daemon/tests/soak/faults.py
+++ b/auburncart/daemon/tests/soak/faults.py
@@ -168,6 +168,7 @@
         if what == "cut":
             world.trouble(ALL, seconds, "links to replicas")
         for replica in chosen:
+            world.trouble(replica.instance, seconds, f"link {what}")
             if what == "delay":
                 replica.link.delay = rng.uniform(0.02, 0.3)
             elif what == "cut":
--- a/auburncart/daemon/tests/soak/run.py
+++ b/auburncart/daemon/tests/soak/run.py
@@ -57,4 +57,7 @@
         served = sum(one.status == 200 for one in ledger.exchanges.values())
         runs = sum(arrival.ran for arrival in ledger.arrivals)
         broken = judge(world, calm_from)
+        if broken:
+            # The troubles tell whether a request was held up on its way.
+            broken += [f"trouble: {span}" for span in ledger.spans]
         return Result(seed, broken, len(ledger.exchanges), served, runs, world.lags, played)
--- a/auburncart/daemon/tests/test_forward.py
+++ b/auburncart/daemon/tests/test_forward.py
@@ -161,6 +161,16 @@
             self.assertEqual(await self.process.wait(), 0)
         self.assertEqual((await self.lines())[-1]["message_type"], "Stopped")
 
+    async def test_a_questioner_who_stays_connected_is_no_error_at_the_end(self) -> None:
+        await self.until_ready()
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.ready)
+        writer.write(b"GET /r HTTP/1.1\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        self.process.send_signal(signal.SIGTERM)
+        _, errors = await self.process.communicate()
+        writer.close()
+        self.assertEqual((self.process.returncode, errors), (0, b""))
+
     async def test_sighup_while_it_starts_does_not_end_it(self) -> None:
         async def hang_up() -> None:
             while True:
--- a/auburncart/transport/front.py
+++ b/auburncart/transport/front.py
@@ -335,5 +335,7 @@
                 await writer.drain()
         except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError, IndexError):
             pass  # the questioner has left, or sent no question
+        except asyncio.CancelledError:
+            pass  # the process ends; asyncio's streams would report the task's end as an error
         finally:
             writer.close()
