--- a/auburncart/transport/merge.py
+++ b/auburncart/transport/merge.py
@@ -8,12 +8,11 @@
 from collections.abc import AsyncIterator, Callable
 
 from websockets.asyncio.client import ClientConnection, connect
-from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from auburncart.coordination.backoff import Backoff
 from auburncart.coordination.forwarding.delegation import MergeLink
-from auburncart.coordination.forwarding.interfaces import VmListener
 from auburncart.coordination.forwarding.journal import Journal
 from auburncart.coordination.forwarding.merging import MergeServer
 from auburncart.exception import LinkError, LinkTimeoutError, ProtocolError
@@ -27,7 +26,7 @@
 from auburncart.state.entryvm import EntryVm
 from auburncart.state.event import DependencyLost, DependencyRegained
 from auburncart.state.merge import Declined, MergeAnswer, MergeQuestion
-from auburncart.transport.client import split_address
+from auburncart.transport.websocket import WebSocketListener
 
 __all__ = ["MergeListener", "WebSocketMergeLink"]
 
@@ -229,7 +228,7 @@
         return f"merging VM {self._vm.name}"
 
 
-class MergeListener(VmListener):
+class MergeListener(WebSocketListener):
     """Answers other VMs, with one task for each websocket and each question on it.
 
     :param address: ``"IP:port"`` to listen on.
@@ -237,25 +236,8 @@
     """
 
     def __init__(self, address: str, server: MergeServer) -> None:
-        self._address = address
+        super().__init__(address, MOST_BYTES)
         self._server = server
-        self._listener: Server | None = None
-
-    async def start(self) -> None:
-        """Listen."""
-        host, port = split_address(self._address)
-        self._listener = await serve(
-            self._serve, host, port, ping_interval=None, compression=None, max_size=MOST_BYTES
-        )
-
-    async def stop(self) -> None:
-        """Stop listening and end all websockets."""
-        if self._listener is None:
-            return
-        self._listener.close()
-        for socket in list(self._listener.connections):
-            socket.transport.abort()
-        await self._listener.wait_closed()
 
     async def _serve(self, socket: ServerConnection) -> None:
         """Begin each question, and end those that are withdrawn."""
--- a/auburncart/transport/relay.py
+++ b/auburncart/transport/relay.py
@@ -5,10 +5,9 @@
 
 from websockets.asyncio.client import ClientConnection as WebSocket
 from websockets.asyncio.client import connect
-from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
-from auburncart.coordination.forwarding.interfaces import VmListener
 from auburncart.coordination.forwarding.kinds import Changes, Page
 from auburncart.coordination.forwarding.relay import RelayClient, RelayServer
 from auburncart.exception import (
@@ -26,7 +25,7 @@
     encode_failure,
     encode_question,
 )
-from auburncart.transport.client import split_address
+from auburncart.transport.websocket import WebSocketListener
 
 __all__ = ["RelayListener", "WebSocketRelayClient"]
 
@@ -93,7 +92,7 @@
         )
 
 
-class RelayListener(VmListener):
+class RelayListener(WebSocketListener):
     """Answers other VMs, with one task for each of their websockets.
 
     :param address: ``"IP:port"`` to listen on.
@@ -101,25 +100,8 @@
     """
 
     def __init__(self, address: str, server: RelayServer) -> None:
-        self._address = address
+        super().__init__(address, MOST_BYTES)
         self._server = server
-        self._listener: Server | None = None
-
-    async def start(self) -> None:
-        """Listen."""
-        host, port = split_address(self._address)
-        self._listener = await serve(
-            self._serve, host, port, ping_interval=None, compression=None, max_size=MOST_BYTES
-        )
-
-    async def stop(self) -> None:
-        """Stop listening and end all websockets."""
-        if self._listener is None:
-            return
-        self._listener.close()
-        for socket in list(self._listener.connections):
-            socket.transport.abort()
-        await self._listener.wait_closed()
 
     async def _serve(self, socket: ServerConnection) -> None:
         """Answer one question after the other."""
