--- a/auburncart/coordination/forwarding/gathering.py
+++ b/auburncart/coordination/forwarding/gathering.py
@@ -133,7 +133,8 @@
             again = error.step != "connect"
             seconds = asyncio.get_running_loop().time() - began
             silent = isinstance(error, LinkTimeoutError)
-            if again and not silent and seconds > search.hedge_delay + FIRST_TRY_SECONDS:
+            hedged = not silent and seconds > search.hedge_delay + FIRST_TRY_SECONDS
+            if again and (hedged or search.most_attempts < 2):
                 # The helper may have made all the tries that the route allows.
                 failure = Failure(Step.REPLY, error.peer, error.reason, FailureCode.LOST, True)
                 self._mailbox.post(Portion((), b"", (), dict.fromkeys(left, failure)))
--- a/auburncart/coordination/forwarding/tests/test_delegation.py
+++ b/auburncart/coordination/forwarding/tests/test_delegation.py
@@ -63,14 +63,15 @@
 
 
 class DelegationTest(unittest.TestCase):
-    def build(self) -> None:
+    def build(self, attempts: int = 2) -> None:
         """Two VMs: the replicas stand beside the helper."""
+        route = search(SHARDS)._replace(most_attempts=attempts)
         replicas = FakeReplicas()
         self.connected = True
-        self.helper = Rig(search(SHARDS), replicas=replicas)
+        self.helper = Rig(route, replicas=replicas)
         server = MergeServer(self.helper.tools, self.helper.drain, lambda: self.connected)
         self.link = DirectLink(server)
-        self.asker = Rig(search(SHARDS), replicas=replicas, distance=2, delegation=self.delegation)
+        self.asker = Rig(route, replicas=replicas, distance=2, delegation=self.delegation)
         for number in range(SHARDS):
             model = ReplicaModel(reply=lambda asked, number=number: stamped(asked, number))
             self.helper.add(f"s{number}", 1, model)
@@ -123,9 +124,9 @@
                 failed = self.asker.journal.of(DelegationFailed)
                 self.assertEqual([event.sent for event in failed], [False])
 
-    async def lose(self, error: LinkError, after: float) -> Merged | Refusal:
+    async def lose(self, error: LinkError, after: float, attempts: int = 2) -> Merged | Refusal:
         """Answer a search whose helper is lost."""
-        self.build()
+        self.build(attempts)
         await asyncio.sleep(10.0)
         self.link.lose, self.link.lose_after = error, after
         answer = await self.asker.gateway.answer(request())
@@ -145,6 +146,12 @@
         self.assertIsInstance(answer, Merged)
         self.assertEqual(self.ran_at(self.asker), SHARDS)
 
+    @virtual_time
+    async def test_a_route_of_one_try_is_not_tried_here_once_a_helper_had_it(self) -> None:
+        answer = await self.lose(LinkError("reset", step="reply", peer="p"), 0.01, attempts=1)
+        self.assertIsInstance(answer, Refusal)
+        self.assertEqual(self.ran_at(self.asker), 0)
+
     @virtual_time
     async def test_a_helper_that_may_have_hedged_is_not_replaced(self) -> None:
         answer = await self.lose(LinkError("reset", step="reply", peer="p"), 0.08)
