The least retry budget left is a metric

The gauge shows the service with the fewest extra requests left, read at each scrape, with no label to bound. Test: the least of two services; infinity (+Inf in the text) before any request.

--- a/auburncart/coordination/forwarding/budget.py
+++ b/auburncart/coordination/forwarding/budget.py
@@ -43,6 +43,11 @@
         self._services: dict[str, deque[_Bucket]] = {}
         self._started_at = asyncio.get_running_loop().time()
 
+    @property
+    def least_left(self) -> float:
+        """Extra requests left for the service that has the fewest, infinity without any."""
+        return min(map(self.left, self._services), default=float("inf"))
+
     def record_request(self, service: str) -> None:
         """Count a caller's request for a service."""
         self._add(service, 1, 0)
--- a/auburncart/coordination/forwarding/tests/test_budget.py
+++ b/auburncart/coordination/forwarding/tests/test_budget.py
@@ -15,6 +15,17 @@
 
 
 class BudgetTest(unittest.TestCase):
+    @virtual_time
+    async def test_the_least_budget_left_is_told(self) -> None:
+        budget = RetryBudget(BOUNDS, lambda service: 1.0)
+        self.assertEqual(budget.least_left, float("inf"))
+        await asyncio.sleep(BOUNDS.window)
+        budget.record_request("a")
+        budget.record_request("b")
+        self.assertTrue(budget.spend("b"))
+        self.assertEqual(budget.least_left, budget.left("b"))
+        self.assertLess(budget.left("b"), budget.left("a"))
+
     @virtual_time
     async def test_all_vms_together_stay_within_the_bounds_of_the_tier(self) -> None:
         budgets = [RetryBudget(BOUNDS, lambda service: 1.0 / 9) for _ in range(9)]
--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -88,13 +88,13 @@
         )
         self._replicas = ReplicaSink(self._directory)
         bounds = settings.bounds
-        budget = RetryBudget(
+        self._budget = RetryBudget(
             BudgetBounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_seconds),
             self._slack_share,
         )
         self._drain = Drain(lambda: self._keeper.table is not None and self._replicas.listed)
         suspects = Suspects(self._store, self._journal)
-        tools = Tools(self._directory, LeastWait(), budget, suspects, self._journal)
+        tools = Tools(self._directory, LeastWait(), self._budget, suspects, self._journal)
         own = EntryVm(
             settings.name, settings.data_centre, settings.relay_address, settings.merge_address
         )
@@ -282,6 +282,11 @@
         watch("ready", "Whether callers are asked for", lambda: float(self._gateway.ready))
         watch("in_flight", "Requests being answered", lambda: float(self._drain.in_flight))
         watch("caller_connections", "Open ones", lambda: float(len(self._front.connections)))
+        watch(
+            "retry_budget_least",
+            "Extra requests left for the service with the fewest",
+            lambda: self._budget.least_left,
+        )
         watch("log_lines_dropped", "Since the start", lambda: float(self._log.dropped_total))
         watch(
             "replica_connections",
