--- a/auburncart/coordination/forwarding/delegation.py
+++ b/auburncart/coordination/forwarding/delegation.py
@@ -27,7 +27,7 @@
 LEAST_GROUP = 3  # shards from which one question costs less than a request for each
 ELSEWHERE = 2  # distance of another region; within one, bytes are cheap and ways short
 WAY_MARGIN_SECONDS = 0.003  # beyond the way to a helper and back: some turns of both loops
-DECLINED_SECONDS = 1.0  # for which a VM that declined is not asked: a version is in force by then
+DECLINED_SECONDS = 1.0  # for which a VM that declined is not asked: it is leaving or lost the store
 
 
 class MergeLink(ABC):
