Bound every part of a reply, and the bodies received at once

Cause: a reply that never ended its head grew a process by 264 MB in 4 s; trailers and chunk framing had no bound, interim replies were read until the deadline. Trailers are no headers. Two ids, stamps or refusals in one reply are an error. Ruled out: a head cut at any byte, by FIN or RST, already was an error (CutOffReplyTest).

A request is sent to the same replica again on a new connection only: a late copy of the first refusal would be taken for the second one's reply (test failed first: 1 resent on its connection). A list of objects older than what a VM knows is not used after lost history (test failed first: the replica that had left was back).

--- a/auburncart/coordination/forwarding/attempts.py
+++ b/auburncart/coordination/forwarding/attempts.py
@@ -125,11 +125,15 @@
             pool = self._context.selection.pick(candidates, ())
         if pool is None:
             return False
-        self._tried.append(pool)
-        self._attempts += 1
         attempt = Attempt(
-            self._request, self._policy.priority, not self._policy.idempotent, self._mailbox.post
+            self._request,
+            self._policy.priority,
+            fresh=not self._policy.idempotent,
+            resent=pool in self._tried,
+            on_finish=self._mailbox.post,
         )
+        self._tried.append(pool)
+        self._attempts += 1
         attempt.reason = reason
         self._pending.append(attempt)
         pool.submit(attempt)
--- a/auburncart/coordination/forwarding/fanout.py
+++ b/auburncart/coordination/forwarding/fanout.py
@@ -21,6 +21,7 @@
 __all__ = ["NO_REPLY_IN_TIME", "NO_STAMP", "Fanout", "merge_partial_answers", "merge_records"]
 
 RECORD_BYTES = 16  # size of a record; a shorter remainder of a body is ignored
+LONG_PART_BYTES = 4096  # of a longer part, only its greatest records are kept until the merge
 HEDGE_MARGIN_SECONDS = 0.02  # a helper lost this soon after the hedge delay has not hedged
 NO_REPLY_IN_TIME = Failure(Step.REPLY, "", "no reply in time", FailureCode.TIMED_OUT, True)
 NO_STAMP = Failure(Step.MATCH, "", "the part has no stamp of its own", FailureCode.MISMATCH, True)
@@ -126,7 +127,7 @@
             shard, search.priority, True, max_attempts, search.hedge_delay, search.until
         )
         outcome = await Attempts(search.request, policy, self._context).run()
-        self._mailbox.post(_partial_answer_of(shard, outcome))
+        self._mailbox.post(_partial_answer_of(shard, outcome, search.top_records))
 
     async def _ask_helper(self, group: ShardGroup) -> None:
         """Have a helper ask some shards; if it is lost, ask the remaining ones directly."""
@@ -155,10 +156,13 @@
             )
 
 
-def _partial_answer_of(shard: str, outcome: Outcome) -> PartialAnswer:
+def _partial_answer_of(shard: str, outcome: Outcome, top: int) -> PartialAnswer:
     reply = outcome.reply
     if reply is None or not reply.succeeded:
         return PartialAnswer((), b"", (), {shard: outcome.failure or NO_REPLY_IN_TIME})
     if not reply.stamp:
         return PartialAnswer((), b"", (), {shard: NO_STAMP})
-    return PartialAnswer((shard,), reply.body, (reply.stamp,), {})
+    body = reply.body
+    if len(body) > LONG_PART_BYTES:
+        body = merge_records((body,), top)
+    return PartialAnswer((shard,), body, (reply.stamp,), {})
--- a/auburncart/coordination/forwarding/kinds.py
+++ b/auburncart/coordination/forwarding/kinds.py
@@ -132,6 +132,7 @@
         self._watch_seconds = watch_seconds
         self._backoff = Backoff(rng, INITIAL_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS)
         self._revision: int | None = None
+        self._newest = 0  # revision, also while there is none to watch from
         self._lost_at: float | None = None
         self._confirmed_at = float("-inf")
         self._entries: dict[str, Entry] = {}
@@ -193,6 +194,10 @@
     async def _step(self) -> None:
         if self._revision is None:
             entries, revision = await self._list_all()
+            if revision < self._newest:
+                # Another VM that is behind may list objects which are known to be deleted.
+                reason = f"{self._kind} listed at revision {revision}, known at {self._newest}"
+                raise StoreUnavailableError(reason, step="list", sent=False)
             self._end_outage()
             self._sink.replace(self._report_unreadable(entries))
             self._entries = {entry.name: entry for entry in entries}
@@ -224,7 +229,7 @@
             self._entries[entry.name] = entry
 
     def _set_revision(self, revision: int) -> None:
-        self._revision = revision
+        self._revision = self._newest = revision
         self._confirmed_at = asyncio.get_running_loop().time()
         self._revision_changed.set()
         self._revision_changed = asyncio.Event()
--- a/auburncart/coordination/forwarding/merging.py
+++ b/auburncart/coordination/forwarding/merging.py
@@ -15,7 +15,7 @@
 from auburncart.coordination.shutdown import RequestTracker
 from auburncart.state.entryvm import EntryVm
 from auburncart.state.event import MergedForPeer
-from auburncart.state.forward import ForwardRequest, PartialAnswer
+from auburncart.state.forward import MAX_PART_BYTES, ForwardRequest, PartialAnswer
 from auburncart.state.merge import Declined, MergeAnswer, MergeQuestion
 
 __all__ = ["MergeServer", "merging_wanted"]
@@ -129,6 +129,7 @@
         now,
         now + question.time_left,
         question.caller,
+        max_reply_bytes=MAX_PART_BYTES,
     )
     return Search(
         request,
--- a/auburncart/coordination/forwarding/replica.py
+++ b/auburncart/coordination/forwarding/replica.py
@@ -44,6 +44,8 @@
     :param priority: rank by which it waits, 0 first.
     :param fresh: whether it needs a connection used so recently that the replica cannot close it
         as idle, so that a lost connection has another cause.
+    :param resent: whether the replica may have been sent the request before. It then needs a new
+        connection, since on another one a second copy of the first reply cannot be told apart.
     :param on_finish: called once with the result.
     """
 
@@ -52,11 +54,13 @@
         request: ForwardRequest,
         priority: int,
         fresh: bool,
+        resent: bool,
         on_finish: Callable[[AttemptResult], None],
     ) -> None:
         self.request = request
         self.priority = priority
         self.fresh = fresh
+        self.resent = resent
         self.queued_at = 0.0
         self.sent_at = 0.0
         self.reason = "first"
@@ -264,6 +268,8 @@
         """Keep a connection as idle; False if it must be closed instead."""
         if self._retired or len(self._workers) > self._max_connections():
             return False
+        if self._queue and len(self._workers) >= self._max_connections():
+            return False  # the next attempt needs another connection
         self._idle.append(worker)
         return True
 
@@ -300,6 +306,7 @@
         self.idle_since = 0.0
         self._wake = asyncio.Event()
         self._stopping = False
+        self._used = False
         self._task = asyncio.create_task(self._run(), name=f"replica {pool.registration.instance}")
 
     @property
@@ -318,6 +325,8 @@
         """Return whether the connection may carry an attempt now."""
         if self.connection is None or not self.connection.usable:
             return False
+        if attempt.resent and self._used:
+            return False
         idle = _now() - self.idle_since
         return idle <= (MAX_FRESH_IDLE_SECONDS if attempt.fresh else self.idle_limit)
 
@@ -363,6 +372,7 @@
 
     async def _exchange(self, attempt: Attempt) -> None:
         assert self.connection is not None
+        self._used = True
         try:
             reply = await self.connection.exchange(
                 attempt.request, self._pool.registration.instance
--- a/auburncart/coordination/forwarding/search.py
+++ b/auburncart/coordination/forwarding/search.py
@@ -4,7 +4,7 @@
 
 from auburncart.coordination.forwarding.attempts import HEDGE_DELAY_SHARE
 from auburncart.state.configuration import Route
-from auburncart.state.forward import ForwardRequest
+from auburncart.state.forward import MAX_PART_BYTES, ForwardRequest
 
 __all__ = ["Search", "search_of"]
 
@@ -35,7 +35,7 @@
 def search_of(request: ForwardRequest, route: Route, deliver_at: float, until: float) -> Search:
     """Return the search that answers a caller's request, by its route."""
     return Search(
-        request,
+        request._replace(max_reply_bytes=MAX_PART_BYTES),
         route.shards,
         route.priority,
         route.max_attempts,
--- a/auburncart/coordination/forwarding/tests/test_gateway.py
+++ b/auburncart/coordination/forwarding/tests/test_gateway.py
@@ -67,6 +67,28 @@
             self.assertIsInstance(await fixture.gateway.answer(request(number)), ForwardedReply)
         self.assertEqual(second.executed, 4)
 
+    @virtual_time
+    async def test_an_order_is_resent_to_a_replica_on_a_new_connection_only(self) -> None:
+        """A late copy of the first refusal would else be taken for the second one's reply."""
+        sheds = iter((True, False))
+        for connections in (1, 4):
+            fixture = GatewayFixture(one_service(idempotent=False, attempts=3), connections)
+            await asyncio.sleep(11.0)
+            fixture.add(
+                "s",
+                1,
+                ReplicaModel(
+                    0.001, lambda request: (shed_reply if next(sheds) else ok_reply)(request)
+                ),
+            )
+            fixture.add("s", 2).reachable = False
+            sheds = iter((False, True, False))
+            self.assertIsInstance(await fixture.gateway.answer(request(1)), ForwardedReply)
+            answer = await fixture.gateway.answer(request(2))
+            self.assertIsInstance(answer, ForwardedReply)
+            self.assertEqual(fixture.reached("s/1"), 3)
+            self.assertEqual(fixture.replicas.resent_on_connection, 0)
+
     @virtual_time
     async def test_an_order_that_all_replicas_shed_is_refused_as_not_run(self) -> None:
         fixture = GatewayFixture(one_service(idempotent=False))
--- a/auburncart/coordination/forwarding/tests/test_relay.py
+++ b/auburncart/coordination/forwarding/tests/test_relay.py
@@ -228,3 +228,42 @@
         await asyncio.sleep(0.0)
         tier.store.oldest = tier.store.revision
         self.assertLess(await tier.time_to_spread(3), 2.0)
+
+
+class LaggingStore(KindStore):
+    """Lists what each of its pages says in turn; all watches find their history lost."""
+
+    def __init__(self, *pages: Page) -> None:
+        self.pages = list(pages)
+
+    async def list(self, kind: str, after: str = "", *, stale: bool = False) -> Page:
+        return self.pages.pop(0) if len(self.pages) > 1 else self.pages[0]
+
+    async def changes(self, kind: str, revision: int, wait: float) -> Changes:
+        await asyncio.sleep(0.5)
+        raise HistoryLostError("history lost", step="relay")
+
+    async def put(self, kind: str, name: str, value: Any) -> None:
+        raise NotImplementedError
+
+    async def delete(self, kind: str, name: str) -> None:
+        raise NotImplementedError
+
+
+class NewListTest(unittest.TestCase):
+    @virtual_time
+    async def test_a_list_older_than_what_is_known_is_not_used(self) -> None:
+        """A reader that is behind still lists a replica which this VM knows has left."""
+        known = Page((Entry("main", "left", 9),), False, 9)
+        older = Page((Entry("main", "here", 5),), False, 7)
+        newer = Page((Entry("main", "new", 11),), False, 11)
+        sink = RecordingSink()
+        store = LaggingStore(known, older, older, newer)
+        watcher = KindWatcher(store, "things", sink, ListJournal(), random.Random(1))
+        task = asyncio.create_task(watcher.run())
+        values = []
+        for _ in range(60):
+            await asyncio.sleep(0.1)
+            values.append(sink.values["main"][0])
+        task.cancel()
+        self.assertEqual(list(dict.fromkeys(values)), ["left", "new"])
--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -19,6 +19,7 @@
 from auburncart.coordination.forwarding.quarantine import CRASHES, RequestQuarantine
 from auburncart.coordination.forwarding.relay import RelayClient, RelayedStore, RelayServer
 from auburncart.coordination.forwarding.replica_registry import ReplicaRegistry
+from auburncart.coordination.forwarding.reply_memory import ReplyMemory
 from auburncart.coordination.forwarding.roster import ENTRY_VMS, Roster
 from auburncart.coordination.forwarding.share import connection_share, slack_share
 from auburncart.coordination.forwarding.sinks import ConfigurationSink, ReplicaSink
@@ -53,6 +54,7 @@
 STOP_MARGIN_SECONDS = 0.5  # before the process is killed, to close connections and write the log
 UNREGISTER_TIMEOUT_SECONDS = 0.25  # half of the margin; the store replies in milliseconds
 EXIT_FAILED = 1
+REPLY_MEMORY_SHARE = 0.25  # of the process's memory; bodies are copied once to be forwarded
 MERGE_CHECK_INTERVAL_SECONDS = 1.0  # VMs and replicas that start together take seconds to appear
 CRASH_WATCH_SECONDS = 25.0  # below the store's limit of 30 s; a late report does little harm
 CLOCK_CHECK_INTERVAL_SECONDS = 0.5  # half of the balancer's probe interval
@@ -82,7 +84,10 @@
         self._configuration = ActiveConfiguration(self._journal)
         self._registry = ReplicaRegistry(
             settings.distance,
-            HttpReplicaDialer(PlatformReplicaCodec()),
+            HttpReplicaDialer(
+                PlatformReplicaCodec(),
+                ReplyMemory(int(REPLY_MEMORY_SHARE * settings.memory_bytes)),
+            ),
             self._connection_share,
             self._journal,
         )
--- a/auburncart/platform/messages.py
+++ b/auburncart/platform/messages.py
@@ -20,6 +20,8 @@
 STAMP_HEADER = b"x-server-stamp"
 NOT_RUN_HEADER = b"x-not-executed"
 REPLY_INSTANCE_HEADER = b"x-instance-id"
+# Of two values, either may be that of another reply.
+SINGLE_REPLY_HEADERS = (REQUEST_ID_HEADER, STAMP_HEADER, NOT_RUN_HEADER)
 # Headers that apply to one connection or are rewritten for each replica.
 NOT_FORWARDED = frozenset(
     (
@@ -125,6 +127,10 @@
 
     def decode_reply(self, reply: WireReply, request: ForwardRequest) -> Reply:
         """Return a replica's reply."""
+        names = [name.lower() for name, _ in reply.headers]
+        for name in SINGLE_REPLY_HEADERS:
+            if names.count(name) > 1:
+                raise ProtocolError(f"{names.count(name)} headers {name.decode()}", step="match")
         value_by_name = {name.lower(): value for name, value in reply.headers}
         not_run = NOT_RUN_HEADER in value_by_name or reply.status == MISDIRECTED_STATUS
         echoed = value_by_name.get(REQUEST_ID_HEADER)
--- a/auburncart/platform/settings.py
+++ b/auburncart/platform/settings.py
@@ -10,6 +10,7 @@
 __all__ = ["SETTINGS_VARIABLE", "load_platform_settings"]
 
 SETTINGS_VARIABLE = "AUBURNCART_SETTINGS"
+BYTES_PER_MEGABYTE = 1_000_000
 METRICS_PORT = 9464  # as in deploy/system.toml; the usual port of exporters in this format
 
 
@@ -22,6 +23,10 @@
     address: str
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    memoryMb: float = 160.0  # noqa: N815
+
+
 class _Bounds(msgspec.Struct, frozen=True):
     retryRatio: float = 0.2  # noqa: N815
     retryWindowS: float = 10.0  # noqa: N815
@@ -39,6 +44,7 @@
     platform: _Store
     portRange: tuple[int, int]  # noqa: N815
     bootstrap: bool = False  # at the first start of the tier only, not whenever a process starts
+    limits: _Limits = _Limits()
     contractParams: _Bounds = _Bounds()  # noqa: N815
 
 
@@ -65,6 +71,7 @@
         relay_address=f"{body.ipAddr}:{body.portRange[0]}",
         merge_address=f"{body.ipAddr}:{body.portRange[0] + 1}",
         first_start=body.bootstrap,
+        memory_bytes=int(body.limits.memoryMb * BYTES_PER_MEGABYTE),
         grace_seconds=bounds.graceS,
         bounds=RetryBudgetSettings(
             retry_ratio=bounds.retryRatio,
--- a/auburncart/platform/tests/test_messages.py
+++ b/auburncart/platform/tests/test_messages.py
@@ -42,6 +42,15 @@
             ),
         )
 
+    def test_a_reply_with_two_ids_or_two_stamps_is_an_error(self) -> None:
+        decoded = request()
+        for name in (b"X-Attempt-Id", b"X-Server-Stamp", b"X-Not-Executed"):
+            headers = ((b"X-Attempt-Id", b"id1"), (b"X-Server-Stamp", b"p"), (name, b"id1"))
+            with self.assertRaises(ProtocolError):
+                PlatformReplicaCodec().decode_reply(
+                    WireReply(200, b"OK", (*headers, (name, b"id1")), b""), decoded
+                )
+
     def test_missing_or_repeated_headers_are_refused(self) -> None:
         for name in (b"Host", b"X-Attempt-Id", b"X-Deadline-Remaining"):
             without = tuple(header for header in HEADERS if header[0] != name)
--- a/auburncart/settings/forward.py
+++ b/auburncart/settings/forward.py
@@ -32,6 +32,7 @@
     :param relay_address: ``"IP:port"`` on which other VMs of the data centre reach this one.
     :param merge_address: ``"IP:port"`` on which searches are merged for VMs of other regions.
     :param first_start: whether this is the first start of all VMs of the tier.
+    :param memory_bytes: memory that the process may use.
     :param grace_seconds: time between SIGTERM and the end of the process.
     :param bounds: retry budget that all VMs share.
     """
@@ -47,6 +48,7 @@
     relay_address: str
     merge_address: str
     first_start: bool = False
+    memory_bytes: int = 160_000_000
     grace_seconds: float = 6.0
     bounds: RetryBudgetSettings = RetryBudgetSettings()
 
--- a/auburncart/standins/replicas.py
+++ b/auburncart/standins/replicas.py
@@ -54,13 +54,15 @@
 class FakeReplicaDialer(ReplicaDialer):
     """Opens connections to simulated replicas by instance.
 
-    ``arrivals`` lists all requests that reached a replica.
+    ``arrivals`` lists all requests that reached a replica; ``resent_on_connection`` counts those
+    whose id had been sent on the same connection before.
     """
 
     def __init__(self) -> None:
         self.models: dict[str, ReplicaModel] = {}
         self.arrivals: list[Arrival] = []
         self.opened_connections = 0
+        self.resent_on_connection = 0
 
     def add(self, instance: str, model: ReplicaModel | None = None) -> ReplicaModel:
         """Add a replica and return its model; one that is known keeps its model."""
@@ -85,6 +87,7 @@
         self._model = model
         self._closed = asyncio.Event()
         self._in_use = False
+        self._request_ids: set[str] = set()
 
     @property
     def usable(self) -> bool:
@@ -100,6 +103,8 @@
         """Execute a request for the replica's service time; closing the connection aborts it."""
         now = asyncio.get_running_loop().time()
         self._replicas.arrivals.append(Arrival(now, instance, request))
+        self._replicas.resent_on_connection += request.request_id in self._request_ids
+        self._request_ids.add(request.request_id)
         self._in_use = True
         self._model.in_flight += 1
         try:
--- a/auburncart/state/forward.py
+++ b/auburncart/state/forward.py
@@ -9,6 +9,8 @@
     "ForwardedReply",
     "ForwardRequest",
     "Header",
+    "MAX_PART_BYTES",
+    "MAX_REPLY_BYTES",
     "MergedAnswer",
     "PartialAnswer",
     "Reply",
@@ -16,6 +18,9 @@
 
 Header = tuple[bytes, bytes]
 
+MAX_REPLY_BYTES = 16_000_000  # of a body that is forwarded whole
+MAX_PART_BYTES = 262_144  # 16,384 records; a part needs no more than the greatest few
+
 
 class ForwardRequest(NamedTuple):
     """A caller's request.
@@ -31,6 +36,7 @@
     :param deadline: loop time in seconds after which the caller no longer waits.
     :param caller: ``"IP:port"`` of the caller.
     :param new_connection: whether the connection was just opened, which took the caller some time.
+    :param max_reply_bytes: maximum size of a replica's reply body.
     """
 
     request_id: str
@@ -44,6 +50,7 @@
     deadline: float
     caller: str = ""
     new_connection: bool = False
+    max_reply_bytes: int = MAX_REPLY_BYTES
 
 
 class Reply(NamedTuple):
--- a/auburncart/transport/replica.py
+++ b/auburncart/transport/replica.py
@@ -3,9 +3,10 @@
 import asyncio
 
 from auburncart.coordination.forwarding.interfaces import ReplicaConnection, ReplicaDialer
+from auburncart.coordination.forwarding.reply_memory import ReplyMemory
 from auburncart.exception import LinkError, ProtocolError, UpstreamError, UpstreamMismatchError
 from auburncart.protocol.forward import ReplicaCodec, WireReply
-from auburncart.state.forward import ForwardRequest, Reply
+from auburncart.state.forward import MAX_REPLY_BYTES, ForwardRequest, Reply
 from auburncart.state.registration import Registration
 from auburncart.transport.client import ClientConnection, RawReply
 
@@ -13,7 +14,6 @@
 
 # Some round trips between regions; a lost packet is retransmitted only after this time.
 CONNECT_TIMEOUT_SECONDS = 0.3
-MAX_REPLY_BYTES = 16_000_000  # bounds the memory that one faulty replica can use
 BODILESS_METHODS = ("HEAD",)
 # Headers that apply to one connection or delimit a body.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -34,16 +34,18 @@
     """Opens connections to replicas.
 
     :param codec: encodes requests and decodes replies.
+    :param memory: shared by the bodies of all replies that are being received.
     """
 
-    def __init__(self, codec: ReplicaCodec) -> None:
+    def __init__(self, codec: ReplicaCodec, memory: ReplyMemory) -> None:
         self._codec = codec
+        self._memory = memory
 
     async def connect(self, registration: Registration) -> ReplicaConnection:
         """Open a connection."""
         try:
             connection = await ClientConnection.open(
-                registration.address, CONNECT_TIMEOUT_SECONDS, MAX_REPLY_BYTES
+                registration.address, CONNECT_TIMEOUT_SECONDS, MAX_REPLY_BYTES, self._memory
             )
         except LinkError as error:
             raise UpstreamError(
@@ -75,7 +77,9 @@
         message = _encode_request(request, headers)
         bodiless = request.method in BODILESS_METHODS
         try:
-            raw = await self._connection.exchange(message, bodiless=bodiless)
+            raw = await self._connection.exchange(
+                message, bodiless=bodiless, max_bytes=request.max_reply_bytes
+            )
             self._idle_limit = _idle_limit(raw)
             return self._codec.decode_reply(_strip_hop_by_hop(raw), request)
         except LinkError as error:
--- a/auburncart/transport/tests/test_client.py
+++ b/auburncart/transport/tests/test_client.py
@@ -1,6 +1,9 @@
 import asyncio
 import contextlib
+import socket
+import struct
 import unittest
+from typing import ClassVar
 
 from auburncart.exception import LinkError, ProtocolError
 from auburncart.transport.client import ClientConnection
@@ -13,6 +16,7 @@
     async def asyncSetUp(self) -> None:
         self.replies: list[bytes | None] = []
         self.keeps_alive = False
+        self.resets = False
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
@@ -104,3 +108,60 @@
             async with asyncio.timeout(0.05):
                 await self.connection.exchange(b"GET / HTTP/1.1\r\n\r\n")
         self.assertFalse(self.connection.usable)
+
+
+class CutOffReplyTest(ScriptedServer):
+    """A reply that ends early, wherever it is cut, never looks complete."""
+
+    REPLIES: ClassVar = {
+        "length": b"HTTP/1.1 200 OK\r\nX-Server-Stamp: p\r\nContent-Length: 15\r\n\r\n" + b"b" * 15,
+        "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"5;x=y\r\nshort\r\na\r\n0123456789\r\n0\r\nX-Trailer: t\r\n\r\n",
+        "interim": b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+        "no body": b"HTTP/1.1 204 No Content\r\nX-Server-Stamp: p\r\n\r\n",
+    }  # fmt: skip
+    UNTIL_CLOSE = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: p\r\n\r\nbody until the close"
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Send the next reply, then close by FIN or RST."""
+        await reader.readuntil(b"\r\n\r\n")
+        reply = self.replies.pop(0)
+        assert reply is not None
+        writer.write(reply)
+        if self.resets:
+            await asyncio.sleep(0.002)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+        writer.close()
+
+    async def check_cut(self, reply: bytes) -> None:
+        self.connection = await ClientConnection.open(self.address, SECONDS, 1000)
+        with self.assertRaises((LinkError, ProtocolError)):
+            await self.get_reply(reply)
+        self.assertFalse(self.connection.usable)
+
+    async def test_a_cut_at_every_byte_is_an_error(self) -> None:
+        for self.resets in (False, True):
+            for name, reply in self.REPLIES.items():
+                for size in range(1, len(reply)):
+                    with self.subTest(name, size=size, resets=self.resets):
+                        await self.check_cut(reply[:size])
+
+    async def test_a_reply_without_length_needs_its_whole_head_and_a_close(self) -> None:
+        head = self.UNTIL_CLOSE.index(b"\r\n\r\n") + 4
+        self.resets = False
+        for size in range(1, head):
+            with self.subTest(size=size):
+                await self.check_cut(self.UNTIL_CLOSE[:size])
+        self.resets = True
+        for size in range(head, len(self.UNTIL_CLOSE) + 1):
+            with self.subTest(size=size, resets=True):
+                await self.check_cut(self.UNTIL_CLOSE[:size])
+
+    async def test_trailers_are_no_headers(self) -> None:
+        self.resets = False
+        reply = await self.get_reply(self.REPLIES["chunks"])
+        self.assertEqual(reply.body, b"short0123456789")
+        self.assertEqual(reply.header(b"x-trailer"), b"")
