A planned stop answers every request that has been read

Cause: a leaving VM closed each connection after the reply in hand; pipelined requests behind it, already read, got no answer. Requests whose body was still arriving when the last answer went out were cut off, and under steady load new ones were accepted until the drain timeout cancelled them. Change: the connection closes with the last request read; after the balancer's lag and a quarter of the drain timeout the VM stops listening, closes idle connections and waits for requests that have begun to arrive. Trailers of a request are no headers; chunk headers and trailers are bounded like those of replies.

--- a/auburncart/coordination/forwarding/tests/test_gateway.py
+++ b/auburncart/coordination/forwarding/tests/test_gateway.py
@@ -1,5 +1,6 @@
 import asyncio
 import unittest
+from collections.abc import Callable
 
 from auburncart.coordination.forwarding.tests.gateway_fixture import (
     GatewayFixture,
@@ -18,6 +19,11 @@
     return None
 
 
+def in_turn(*replies: Callable[[ForwardRequest], Reply]) -> Callable[[ForwardRequest], Reply]:
+    remaining = iter(replies)
+    return lambda request: next(remaining)(request)
+
+
 def stamped(number: int):
     def reply(request: ForwardRequest) -> Reply:
         return Reply(200, b"OK", (), bytes([number]) * 16, b"proof%d" % number)
@@ -70,19 +76,11 @@
     @virtual_time
     async def test_an_order_is_resent_to_a_replica_on_a_new_connection_only(self) -> None:
         """A late copy of the first refusal would else be taken for the second one's reply."""
-        sheds = iter((True, False))
         for connections in (1, 4):
             fixture = GatewayFixture(one_service(idempotent=False, attempts=3), connections)
             await asyncio.sleep(11.0)
-            fixture.add(
-                "s",
-                1,
-                ReplicaModel(
-                    0.001, lambda request: (shed_reply if next(sheds) else ok_reply)(request)
-                ),
-            )
+            fixture.add("s", 1, ReplicaModel(0.001, in_turn(ok_reply, shed_reply, ok_reply)))
             fixture.add("s", 2).reachable = False
-            sheds = iter((False, True, False))
             self.assertIsInstance(await fixture.gateway.answer(request(1)), ForwardedReply)
             answer = await fixture.gateway.answer(request(2))
             self.assertIsInstance(answer, ForwardedReply)
--- a/auburncart/coordination/shutdown.py
+++ b/auburncart/coordination/shutdown.py
@@ -10,6 +10,9 @@
 
 __all__ = ["FrontEnd", "RequestTracker", "Shutdown", "ShutdownTimes"]
 
+# Of the drain timeout; what arrives later would have too little time to be answered.
+ACCEPTING_SHARE = 0.25
+
 
 class FrontEnd(ABC):
     """The server that callers connect to."""
@@ -18,6 +21,12 @@
     def close_after_reply(self) -> None:
         """Close each connection after its next reply; requests are still accepted."""
 
+    async def finish(self) -> None:  # noqa: B027
+        """Accept no more requests and wait for those that have begun to arrive.
+
+        Does nothing by default, for servers whose :meth:`stop` waits for them.
+        """
+
     @abstractmethod
     async def stop(self) -> None:
         """Stop listening and close all connections."""
@@ -133,6 +142,10 @@
         await self._wait_unless_skipped(asyncio.sleep(self._times.balancer_lag))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._times.drain_timeout):
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(ACCEPTING_SHARE * self._times.drain_timeout):
+                        await self._wait_unless_skipped(self._request_tracker.wait_idle())
+                await self._wait_unless_skipped(self._front.finish())
                 await self._wait_unless_skipped(self._request_tracker.wait_idle())
         cut_off = self._request_tracker.cancel_all()
         await self._front.stop()
--- a/auburncart/transport/front.py
+++ b/auburncart/transport/front.py
@@ -18,6 +18,8 @@
 __all__ = ["ForwardServer", "ReadinessServer"]
 
 MAX_PIPELINED_REQUESTS = 4  # read ahead on one connection
+# Chunk headers and trailers may have as many bytes as the body, and this many more.
+MAX_FRAMING_BYTES = 65_536
 LISTEN_BACKLOG = 1024  # a SYN dropped in a burst of connections is retransmitted only after 1 s
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 REASON_PHRASES = {
@@ -70,6 +72,7 @@
         self.limits = limits
         self._server: asyncio.Server | None = None
         self.connections: set[_CallerConnection] = set()
+        self._connection_closed = asyncio.Event()
 
     async def start(self) -> None:
         """Listen."""
@@ -81,6 +84,16 @@
     def close_after_reply(self) -> None:
         """Do nothing: each connection checks after its reply whether the VM is leaving."""
 
+    async def finish(self) -> None:
+        """Stop listening, close idle connections and wait for the others to be answered."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.close_if_idle()
+        while self.connections:
+            self._connection_closed.clear()
+            await self._connection_closed.wait()
+
     async def stop(self) -> None:
         """Stop listening and close all connections."""
         if self._server is not None:
@@ -88,6 +101,11 @@
         for connection in list(self.connections):
             connection.close()
 
+    def discard(self, connection: "_CallerConnection") -> None:
+        """Record that a connection has been closed."""
+        self.connections.discard(connection)
+        self._connection_closed.set()
+
 
 class _CallerConnection(asyncio.Protocol):
     """One caller's connection; requests are answered in order."""
@@ -102,6 +120,7 @@
         self._request_waiter: asyncio.Future[None] | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._refused = False
+        self._answering = False
         self._is_new = True
         self._caller_address = ""
         self._timer: asyncio.TimerHandle | None = None
@@ -121,7 +140,9 @@
         """Parse received bytes."""
         if self._refused:
             return
-        if not self._head_complete:
+        if self._head_complete:
+            self._framing_size += len(data)
+        else:
             self._head_size += len(data)
         try:
             self._parser.feed_data(data)
@@ -132,6 +153,8 @@
         limits = self._server.limits()
         if not self._head_complete and self._head_size > limits.max_header_bytes:
             self._refuse(431)
+        if self._framing_size > MAX_FRAMING_BYTES + 2 * self._body_size:
+            self._refuse(400)
         if len(self._received) >= MAX_PIPELINED_REQUESTS and self._transport is not None:
             self._transport.pause_reading()
 
@@ -141,7 +164,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the work for a caller that has disconnected."""
-        self._server.connections.discard(self)
+        self._server.discard(self)
         if self._timer is not None:
             self._timer.cancel()
         if self._task is not None:
@@ -152,6 +175,11 @@
         if self._transport is not None:
             self._transport.close()
 
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is arriving or being answered."""
+        if not (self._answering or self._received or self._started_at):
+            self.close()
+
     def on_message_begin(self) -> None:
         """Start the header timeout of a request."""
         if not self._started_at:
@@ -163,7 +191,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
+        """Store a header; trailers are ignored."""
+        if self._head_complete:
+            return
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -208,7 +238,9 @@
                 if received.refusal_status:
                     self._write(WireReply(received.refusal_status, b"", (), b""), keep_alive=False)
                     break
+                self._answering = True
                 keep_alive = await self._answer(received)
+                self._answering = False
                 if not keep_alive:
                     break
         except asyncio.CancelledError:
@@ -239,7 +271,9 @@
             return False
         is_new, self._is_new = self._is_new, False
         answer = await self._server.forwarder.answer(request._replace(new_connection=is_new))
-        keep_alive = received.keep_alive and not self._server.forwarder.leaving
+        # Requests that have been read must be answered before the connection is closed.
+        leaves = self._server.forwarder.leaving and not self._received and not self._started_at
+        keep_alive = received.keep_alive and not leaves
         self._write(
             codec.encode_reply(answer),
             keep_alive=keep_alive,
@@ -299,6 +333,7 @@
         self._body: list[bytes] = []
         self._body_size = 0
         self._head_size = 0
+        self._framing_size = 0
         self._head_complete = False
         self._started_at = 0.0
 
--- a/auburncart/transport/tests/test_front.py
+++ b/auburncart/transport/tests/test_front.py
@@ -119,6 +119,57 @@
         self.assertEqual(status, 200)
         self.assertIn(b"Connection: close", head)
 
+    async def test_a_leaving_vm_answers_all_requests_that_it_has_read(self) -> None:
+        self.echo.is_leaving = True
+        numbers = (b"1", b"2", b"3")
+        for number in numbers:
+            self.writer.write(b"GET /a HTTP/1.1\r\n" + HEAD % number + b"\r\n")
+        heads = [(await self.reply())[1] for _ in numbers]
+        self.assertEqual([b"Connection: close" in head for head in heads], [False, False, True])
+        self.assertEqual(await self.reader.read(), b"")
+
+    async def test_finishing_waits_for_requests_that_are_still_arriving(self) -> None:
+        host, port = self.server._address.split(":")
+        idle_reader, idle_writer = await asyncio.open_connection(host, port)
+        self.writer.write(b"POST /a HTTP/1.1\r\n" + HEAD % b"1" + b"Content-Length: 4\r\n\r\nab")
+        async with asyncio.timeout(SECONDS):
+            while not any(item._head_complete for item in self.server.connections):
+                await asyncio.sleep(0.01)
+            self.echo.is_leaving = True
+            finish = asyncio.create_task(self.server.finish())
+            self.assertEqual(await idle_reader.read(), b"")
+            with self.assertRaises(ConnectionError):
+                await asyncio.open_connection(host, port)
+            self.assertFalse(finish.done())
+            self.writer.write(b"cd")
+            self.assertEqual((await self.reply())[2], b"abcd")
+            await finish
+        idle_writer.close()
+
+    async def test_trailers_are_no_headers_of_the_request(self) -> None:
+        self.writer.write(
+            b"POST /a HTTP/1.1\r\n" + HEAD % b"1" + b"Transfer-Encoding: chunked\r\n\r\n"
+            b"1\r\nf\r\n0\r\nX-Attempt-Id: 2\r\nX-Other: 3\r\n\r\n"
+        )
+        self.assertEqual((await self.reply())[0], 200)
+        self.assertEqual(self.echo.requests[0].request_id, "1")
+        self.assertNotIn(b"X-Other", dict(self.echo.requests[0].headers))
+
+    async def test_framing_without_end_is_refused(self) -> None:
+        head = b"POST /a HTTP/1.1\r\n" + HEAD % b"1" + b"Transfer-Encoding: chunked\r\n\r\n"
+        for start, repeated in (
+            (b"1;", b"x"),
+            (b"", b"1\r\nx\r\n"),
+            (b"0\r\n", b"X-Filler: value\r\n"),
+            (b"0\r\nX-Filler: ", b"x"),
+        ):
+            self.reader, self.writer = await asyncio.open_connection(
+                *self.server._address.split(":")
+            )
+            self.writer.write(head + start + repeated * (200_000 // len(repeated)))
+            self.assertIn((await self.reply())[0], (400, 413))
+        self.assertEqual(self.echo.requests, [])
+
 
 class ReadinessTest(unittest.IsolatedAsyncioTestCase):
     async def test_readiness_and_pages(self) -> None:
