Shutdown: wait for the cancelled waits to end

Cause: each wait of the shutdown left its cancelled task to the event loop. Change: the tasks are awaited after their cancellation.

--- a/auburncart/coordination/shutdown.py
+++ b/auburncart/coordination/shutdown.py
@@ -159,3 +159,4 @@
         finally:
             for task in tasks:
                 task.cancel()
+            await asyncio.wait(tasks)
