--- a/auburncart/coordination/rank_queue.py
+++ b/auburncart/coordination/rank_queue.py
@@ -133,4 +133,6 @@
         first = self.queue.peek(lambda waiter: True)
         if first is None:
             return expected
-        return max(self._pace, expected, (now - self._last_start) / first.work.cost)
+        # The sub-queries in flight share the time since the last start: they may end together.
+        starting = max(first.work.cost, self.limiter.in_use)
+        return max(self._pace, expected, (now - self._last_start) / starting)
