A reply on a used connection must name its request

Cause: a reply without X-Attempt-Id was taken as it is, so that a late second copy which had lost its id, or a part of one, became the next caller's answer, or the refusal of an order that runs. Change: once a replica has named a request on a connection, a reply there that names none is an error: the connection is closed and the request counts as perhaps run.

--- a/auburncart/platform/messages.py
+++ b/auburncart/platform/messages.py
@@ -147,6 +147,7 @@
             not_run,
             reply.status == MISDIRECTED_STATUS,
             value_by_name.get(REPLY_INSTANCE_HEADER, b"").decode("latin-1"),
+            echoed is not None,
         )
 
 
--- a/auburncart/state/forward.py
+++ b/auburncart/state/forward.py
@@ -64,6 +64,7 @@
     :param not_run: whether the replica states that it did not run the request.
     :param moved: whether the address now belongs to another replica than the intended one.
     :param instance: identifier of that replica, ``""`` if it is not given.
+    :param names_request: whether the reply names the request that it answers.
     """
 
     status: int
@@ -74,6 +75,7 @@
     not_run: bool = False
     moved: bool = False
     instance: str = ""
+    names_request: bool = False
 
     @property
     def succeeded(self) -> bool:
--- a/auburncart/transport/replica.py
+++ b/auburncart/transport/replica.py
@@ -59,6 +59,7 @@
         self._connection = connection
         self._codec = codec
         self._idle_limit = float("inf")
+        self._names_requests = False
 
     @property
     def usable(self) -> bool:
@@ -81,7 +82,12 @@
                 message, bodiless=bodiless, max_bytes=request.max_reply_bytes
             )
             self._idle_limit = _idle_limit(raw)
-            return self._codec.decode_reply(_strip_hop_by_hop(raw), request)
+            reply = self._codec.decode_reply(_strip_hop_by_hop(raw), request)
+            if self._names_requests and not reply.names_request:
+                # It may be a second copy of an earlier reply, or a part of one.
+                raise ProtocolError("the reply does not name its request", step="match")
+            self._names_requests = reply.names_request
+            return reply
         except LinkError as error:
             sent = error.step != "connect"
             raise UpstreamError(
