--- a/auburncart/coordination/forwarding/choice.py
+++ b/auburncart/coordination/forwarding/choice.py
@@ -10,6 +10,8 @@
 # By distance (same data centre, same region, other region): round trip and a margin.
 DISTANCE_SECONDS = (0.001, 0.003, 0.020)
 INITIAL_LATENCY_SECONDS = 0.02  # assumed for a replica that has not answered yet
+# A replica that is not asked cannot show that it has become faster.
+LATENCY_HALF_LIFE_SECONDS = 4.0
 WARM_UP_FACTOR = 1.6  # by which a replica is slower just after its start
 
 
@@ -37,7 +39,10 @@
 
 
 def _expected_wait(pool: ReplicaConnectionPool) -> tuple[bool, float]:
-    latency = pool.latency or INITIAL_LATENCY_SECONDS + DISTANCE_SECONDS[pool.distance]
+    latency = INITIAL_LATENCY_SECONDS + DISTANCE_SECONDS[pool.distance]
+    if pool.latency:
+        trust = 0.5 ** (pool.latency_age / LATENCY_HALF_LIFE_SECONDS)
+        latency += trust * (pool.latency - latency)
     if pool.registration.warm_up_seconds > 0.0:
         latency *= WARM_UP_FACTOR
     load = 1.0 + pool.outstanding / max(1, pool.registration.slots)
--- a/auburncart/coordination/forwarding/replica.py
+++ b/auburncart/coordination/forwarding/replica.py
@@ -121,6 +121,7 @@
         self._workers: set[_Worker] = set()
         self._retired = False
         self._latency = 0.0
+        self._latency_at = 0.0
         self._failures = 0
         self._ejected_until = 0.0
         self._ejection = INITIAL_EJECTION_SECONDS
@@ -141,6 +142,11 @@
         """Moving average of the latency of requests in seconds, 0 before the first."""
         return self._latency
 
+    @property
+    def latency_age(self) -> float:
+        """Seconds since the latency was last measured."""
+        return _now() - self._latency_at
+
     @property
     def failures(self) -> int:
         """Number of failures since the last success."""
@@ -217,6 +223,7 @@
 
     def record_latency(self, seconds: float) -> None:
         """Add the latency of a request, or the time after which a sent one was cancelled."""
+        self._latency_at = _now()
         if self._latency:
             self._latency += LATENCY_SAMPLE_WEIGHT * (seconds - self._latency)
         else:
