Owners of shards query their replicas for all VMs of a region

Change: from 16 VMs on, groups of 12 shards have owners in each data centre with their replicas, chosen by rendezvous hashing; all VMs of the region ask the first that can be asked, in one question each. A region without replicas asks one VM beside them, which asks the owners. A question is accepted at once, so that a silent VM is noticed after two round trips and 20 ms. Shares of connections and of extra requests follow. A replica with an unanswered request is expected to stall for as long again.

--- a/auburncart/coordination/forwarding/choice.py
+++ b/auburncart/coordination/forwarding/choice.py
@@ -46,4 +46,5 @@
     if pool.registration.warm_up_seconds > 0.0:
         latency *= WARM_UP_FACTOR
     load = 1.0 + pool.outstanding / max(1, pool.registration.slots)
-    return pool.ejected, latency * load + DISTANCE_SECONDS[pool.distance]
+    wait = max(latency * load, pool.stalled)
+    return pool.ejected, wait + DISTANCE_SECONDS[pool.distance]
--- a/auburncart/coordination/forwarding/delegation.py
+++ b/auburncart/coordination/forwarding/delegation.py
@@ -1,64 +1,39 @@
-"""Delegation of remote shards to a VM near their replicas.
+"""Delegation of shards to other VMs: those near the replicas, or the owners of the shards.
 
 A shard of a search is remote if it has no replica in this region. One question and one merged
-answer cross between regions instead of a request and a reply for each of those shards.
+answer cross between regions instead of a request and a reply for each of those shards. Within a
+region, the owners of shards query the replicas for all VMs.
 """
 
 import asyncio
 import contextlib
-from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator, Callable, Set
+from collections.abc import AsyncIterator, Callable, Iterable, Set
 from typing import NamedTuple
 
+from auburncart.coordination.forwarding.helper_links import (
+    DECLINED_PAUSE_SECONDS,
+    UNRESPONSIVE_PAUSE_SECONDS,
+    HelperLinks,
+    MergeLink,
+)
 from auburncart.coordination.forwarding.journal import Journal
 from auburncart.coordination.forwarding.replica_registry import ReplicaRegistry
 from auburncart.coordination.forwarding.roster import Roster
 from auburncart.coordination.forwarding.search import Search
+from auburncart.coordination.forwarding.shard_owners import OTHER_REGION, ShardOwners
 from auburncart.coordination.rendezvous import rendezvous_select
-from auburncart.exception import LinkError
+from auburncart.exception import LinkError, LinkTimeoutError
 from auburncart.state.entryvm import EntryVm
 from auburncart.state.event import Delegated, DelegationFailed
 from auburncart.state.forward import ForwardRequest, PartialAnswer
-from auburncart.state.merge import Declined, MergeAnswer, MergeQuestion
+from auburncart.state.merge import Declined, MergeQuestion, SearchScope
 
-__all__ = ["OTHER_REGION", "Delegation", "ShardGroup", "Helper", "MergeLink"]
+__all__ = ["MIN_GROUP_SHARDS", "Delegation", "Helper", "ShardGroup"]
 
 MAX_LINKS_PER_DATA_CENTRE = 3  # one VM may be lost while another is being replaced
 MIN_GROUP_SHARDS = 3  # from which one question costs less than a request for each shard
-OTHER_REGION = 2  # distance of another region; within one, bytes are cheap and latencies short
 ROUND_TRIP_MARGIN_SECONDS = 0.003  # for some iterations of both event loops
-DECLINED_PAUSE_SECONDS = 1.0  # a VM that declined a question is leaving or has lost the store
-
-
-class MergeLink(ABC):
-    """Link to one VM, which reconnects by itself."""
-
-    @property
-    @abstractmethod
-    def usable(self) -> bool:
-        """Whether the VM can be asked now."""
-
-    @property
-    @abstractmethod
-    def round_trip(self) -> float:
-        """Round trip to the VM in seconds, as measured when the link was opened."""
-
-    @property
-    @abstractmethod
-    def outstanding(self) -> int:
-        """Number of questions in flight."""
-
-    @abstractmethod
-    def ask(self, question: MergeQuestion, ping_after: float) -> AsyncIterator[MergeAnswer]:
-        """Ask for some shards; closing the iterator cancels the question.
-
-        :param ping_after: seconds without an answer after which the VM must prove to be alive.
-        :raises LinkError: there are no more answers; its step is ``connect`` if nothing was sent.
-        """
-
-    @abstractmethod
-    def close(self) -> None:
-        """Close the link."""
+LINK_CHECK_SECONDS = 1.0  # between checks of the links to owners
 
 
 class Helper(NamedTuple):
@@ -72,11 +47,13 @@
     """Shards that one helper asks.
 
     :param round_trip: seconds of the round trip to the helper, with a margin.
+    :param scope: which further VMs the helper may ask.
     """
 
     helper: Helper
     shards: tuple[str, ...]
     round_trip: float
+    scope: SearchScope
 
 
 class Delegation:
@@ -87,6 +64,7 @@
     :param roster: the VMs.
     :param distance: returns the distance of a data centre: 0 for this VM's own, 1 in the same
         region, 2 in another region.
+    :param owners: the owners of shards in this region.
     :param open_link: opens a link to a VM.
     :param journal: records each question and each failure.
     """
@@ -97,6 +75,7 @@
         registry: ReplicaRegistry,
         roster: Roster,
         distance: Callable[[str], int],
+        owners: ShardOwners,
         open_link: Callable[[EntryVm], MergeLink],
         journal: Journal,
     ) -> None:
@@ -104,27 +83,33 @@
         self._registry = registry
         self._roster = roster
         self._distance = distance
-        self._open_link = open_link
+        self._owners = owners
+        self._links = HelperLinks(open_link)
         self._journal = journal
         self._remote_shards: dict[tuple[str, ...], dict[str, frozenset[str]]] = {}
         self._remote_shards_generation = -1
-        self._members: tuple[EntryVm, ...] = ()
         self._linked_locations: set[str] = set()
-        self._links: dict[EntryVm, MergeLink] = {}
-        self._paused_until: dict[EntryVm, float] = {}
         self._rotation = 0
 
-    def split(self, shards: tuple[str, ...]) -> tuple[tuple[str, ...], tuple[ShardGroup, ...]]:
-        """Return the shards to ask directly, and those that helpers ask."""
-        remote = dict(self._remote_shards_of(shards))
-        groups = []
-        while len(remote) >= MIN_GROUP_SHARDS:
-            group = self._best_group(remote)
-            if group is None:
-                break
-            groups.append(group)
-            for shard in group.shards:
-                del remote[shard]
+    async def run(self) -> None:
+        """Keep the links to owners open before they are needed; runs until cancelled."""
+        while True:
+            self._update_links(set())
+            await asyncio.sleep(LINK_CHECK_SECONDS)
+
+    def split(
+        self, shards: tuple[str, ...], scope: SearchScope
+    ) -> tuple[tuple[str, ...], tuple[ShardGroup, ...]]:
+        """Return the shards to ask directly, and those that other VMs ask.
+
+        :param scope: which VMs may be asked.
+        """
+        groups: list[ShardGroup] = []
+        if scope is SearchScope.TIER:
+            groups += self._remote_groups(shards)
+        if scope is not SearchScope.REPLICAS and self._owners.active:
+            remote = {shard for group in groups for shard in group.shards}
+            groups += self._owner_groups(shard for shard in shards if shard not in remote)
         delegated = {shard for group in groups for shard in group.shards}
         return tuple(shard for shard in shards if shard not in delegated), tuple(groups)
 
@@ -152,6 +137,7 @@
             search.deliver_at - now - group.round_trip,
             search.until - now - group.round_trip,
             request.deadline - now,
+            group.scope,
         )
         self._journal.record(Delegated(request.request_id, vm.name, len(group.shards)))
         ping_after = max(0.0, search.deliver_at - now) + group.round_trip
@@ -159,17 +145,52 @@
             async with contextlib.aclosing(group.helper.link.ask(question, ping_after)) as answers:  # type: ignore[type-var]
                 async for answer in answers:
                     if isinstance(answer, Declined):
-                        self._paused_until[vm] = _now() + DECLINED_PAUSE_SECONDS
+                        self._links.pause(vm, DECLINED_PAUSE_SECONDS)
                         raise LinkError(answer.reason, step="connect", peer=vm.merge_address)
                     yield answer
         except LinkError as error:
+            if isinstance(error, LinkTimeoutError):
+                self._links.pause(vm, UNRESPONSIVE_PAUSE_SECONDS)
             self._record_failure(request, vm, error)
             raise
 
     def close(self) -> None:
         """Close all links."""
-        for link in self._links.values():
-            link.close()
+        self._links.close()
+
+    def _remote_groups(self, shards: tuple[str, ...]) -> list[ShardGroup]:
+        """Return groups of remote shards for helpers near their replicas."""
+        remote = dict(self._remote_shards_of(shards))
+        groups = []
+        while len(remote) >= MIN_GROUP_SHARDS:
+            group = self._best_group(remote)
+            if group is None:
+                break
+            groups.append(group)
+            for shard in group.shards:
+                del remote[shard]
+        return groups
+
+    def _owner_groups(self, shards: Iterable[str]) -> list[ShardGroup]:
+        """Return groups of shards for their owners, without those that this VM owns."""
+        remaining = set(shards)
+        groups = []
+        for owned in self._owners.groups:
+            asked = tuple(sorted(owned.shards & remaining))
+            helper = self._ready_owner(owned.vms)
+            if helper is not None and len(asked) >= MIN_GROUP_SHARDS:
+                groups.append(_group(helper, asked, SearchScope.REPLICAS))
+        return groups
+
+    def _ready_owner(self, vms: tuple[EntryVm, ...]) -> Helper | None:
+        """Return the first owner that can be asked, None if that is this VM or there is none."""
+        for vm in vms:
+            if vm.name == self._own_name:
+                return None
+            link = self._links.ready(vm)
+            if link is not None:
+                return Helper(vm, link)
+        return None
 
     def _best_group(self, remote: dict[str, frozenset[str]]) -> ShardGroup | None:
         """Return a group of as many shards as possible for a helper in the nearest data centre."""
@@ -195,34 +216,38 @@
         helper = ready[min(range(len(ready)), key=rank)]
         location = helper.vm.data_centre
         shards = tuple(shard for shard, locations in remote.items() if location in locations)
-        return ShardGroup(helper, shards, helper.link.round_trip + ROUND_TRIP_MARGIN_SECONDS)
+        return _group(helper, shards, SearchScope.REGION)
 
     def _ready_helpers(self, locations: Set[str]) -> list[Helper]:
         """Return the helpers that can be asked now, after linking to some data centres."""
-        if self._members is not self._roster.members or not locations <= self._linked_locations:
+        if not locations <= self._linked_locations:
             self._update_links(locations)
-        now = _now()
         return [
             Helper(vm, link)
-            for vm, link in self._links.items()
-            if link.usable and self._paused_until.get(vm, 0.0) <= now
+            for location in sorted(locations)
+            for vm in self._helper_vms_in(location)
+            if (link := self._links.ready(vm)) is not None
         ]
 
     def _update_links(self, locations: Set[str]) -> None:
-        """Open links to new VMs, and close those to VMs that have gone."""
-        self._members = self._roster.members
+        """Open links to VMs that are needed, and close those to VMs that no longer are."""
         self._linked_locations |= locations
         wanted = {vm for location in self._linked_locations for vm in self._helper_vms_in(location)}
-        for vm in sorted(wanted - self._links.keys()):
-            self._links[vm] = self._open_link(vm)
-        for vm in self._links.keys() - wanted:
-            self._links.pop(vm).close()
-            self._paused_until.pop(vm, None)
+        for owned in self._owners.groups:
+            for vm in owned.vms:
+                if vm.name == self._own_name:
+                    break
+                wanted.add(vm)
+                if not self._links.failing(vm):
+                    break
+        self._links.keep(wanted)
 
     def _helper_vms_in(self, location: str) -> list[EntryVm]:
         """Return the VMs of a data centre that this one links to, chosen by rendezvous hashing."""
         vms = {
-            vm.name: vm for vm in self._members if vm.data_centre == location and vm.merge_address
+            vm.name: vm
+            for vm in self._roster.members
+            if vm.data_centre == location and vm.merge_address
         }
         return [
             vms[name] for name in rendezvous_select(self._own_name, vms, MAX_LINKS_PER_DATA_CENTRE)
@@ -257,5 +282,9 @@
         )
 
 
+def _group(helper: Helper, shards: tuple[str, ...], scope: SearchScope) -> ShardGroup:
+    return ShardGroup(helper, shards, helper.link.round_trip + ROUND_TRIP_MARGIN_SECONDS, scope)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/auburncart/coordination/forwarding/fanout.py
+++ b/auburncart/coordination/forwarding/fanout.py
@@ -59,7 +59,7 @@
 class Fanout:
     """Asks each shard of a search, with one task for each shard or helper.
 
-    Shards without a replica in this region are asked through helpers: VMs near their replicas.
+    Some shards are asked through helpers: VMs near their replicas, or their owners.
 
     :param search: the search.
     :param context: the collaborators of the forwarding code.
@@ -86,7 +86,7 @@
         near = self._search.shards
         groups: tuple[ShardGroup, ...] = ()
         if self._delegation is not None:
-            near, groups = self._delegation.split(near)
+            near, groups = self._delegation.split(near, self._search.scope)
         for shard in near:
             self._start_task(self._ask_replicas(shard), shard)
         for group in groups:
--- a/auburncart/coordination/forwarding/merging.py
+++ b/auburncart/coordination/forwarding/merging.py
@@ -1,10 +1,10 @@
-"""Merging of shards near this VM for VMs in other regions."""
+"""Merging of shards for other VMs: those of other regions, and all VMs for shards owned here."""
 
 import asyncio
 from collections.abc import AsyncIterator, Callable, Iterable
 
 from auburncart.coordination.forwarding.attempts import ForwardingContext
-from auburncart.coordination.forwarding.delegation import MIN_GROUP_SHARDS
+from auburncart.coordination.forwarding.delegation import MIN_GROUP_SHARDS, Delegation
 from auburncart.coordination.forwarding.fanout import (
     Fanout,
     merge_partial_answers,
@@ -51,6 +51,7 @@
     :param context: the collaborators of the forwarding code.
     :param request_tracker: tracks the requests in flight.
     :param store_connected: returns whether the store answers this VM.
+    :param delegation: chooses the owners of shards; None to ask all shards directly.
     """
 
     def __init__(
@@ -58,8 +59,10 @@
         context: ForwardingContext,
         request_tracker: RequestTracker,
         store_connected: Callable[[], bool],
+        delegation: Delegation | None = None,
     ) -> None:
         self._context = context
+        self._delegation = delegation
         self._request_tracker = request_tracker
         self._store_connected = store_connected
 
@@ -76,7 +79,7 @@
             yield Declined(decline_reason)
             return
         search = _search_of(question, received_at)
-        fanout = Fanout(search, self._context, None)
+        fanout = Fanout(search, self._context, self._delegation)
         with self._request_tracker.track():
             fanout.start()
             try:
@@ -142,4 +145,5 @@
         question.hedge_delay,
         now + min(question.first_answer_delay, question.timeout),
         now + question.timeout,
+        question.scope,
     )
--- a/auburncart/coordination/forwarding/replica.py
+++ b/auburncart/coordination/forwarding/replica.py
@@ -125,12 +125,24 @@
         self._failures = 0
         self._ejected_until = 0.0
         self._ejection = INITIAL_EJECTION_SECONDS
-        self._in_flight = 0
+        self._in_flight: dict[Attempt, None] = {}  # in the order of sending
+        self._stalled_until = 0.0
 
     @property
     def outstanding(self) -> int:
         """Number of requests queued or in flight."""
-        return len(self._queue) + self._in_flight
+        return len(self._queue) + len(self._in_flight)
+
+    @property
+    def stalled(self) -> float:
+        """Seconds for which the replica is expected not to reply, as seen by unanswered requests.
+
+        One that has not replied for some time is expected not to reply for as long again.
+        """
+        now = _now()
+        oldest = next(iter(self._in_flight), None)
+        unanswered = now - oldest.sent_at if oldest is not None else 0.0
+        return max(unanswered, self._stalled_until - now)
 
     @property
     def connections(self) -> int:
@@ -172,7 +184,9 @@
     def discard(self, attempt: Attempt) -> None:
         """Remove a cancelled attempt from the queue, or close its connection if it was sent."""
         if attempt.connection is not None:
-            self.record_latency(_now() - attempt.queued_at)
+            now = _now()
+            self.record_latency(now - attempt.queued_at)
+            self._stalled_until = max(self._stalled_until, 2.0 * now - attempt.sent_at)
             attempt.connection.close()
             return
         self._queue = [entry for entry in self._queue if entry[2] is not attempt]
@@ -232,6 +246,7 @@
     def record_success(self) -> None:
         """Record a reply that shows that the replica works, which ends an ejection."""
         self._failures = 0
+        self._stalled_until = 0.0
         self._ejection = INITIAL_EJECTION_SECONDS
         self._ejected_until = 0.0
 
@@ -261,14 +276,14 @@
         if not self._queue or not worker.can_carry(self._queue[0][2]):
             return None
         attempt = heapq.heappop(self._queue)[2]
-        self._in_flight += 1
         attempt.connection = worker.connection
         attempt.sent_at = _now()
+        self._in_flight[attempt] = None
         return attempt
 
     def release(self, attempt: Attempt) -> None:
         """Record that an attempt no longer uses its connection."""
-        self._in_flight -= 1
+        self._in_flight.pop(attempt, None)
         attempt.connection = None
 
     def add_idle(self, worker: "_Worker") -> bool:
--- a/auburncart/coordination/forwarding/search.py
+++ b/auburncart/coordination/forwarding/search.py
@@ -5,6 +5,7 @@
 from auburncart.coordination.forwarding.attempts import HEDGE_DELAY_SHARE
 from auburncart.state.configuration import Route
 from auburncart.state.forward import MAX_PART_BYTES, ForwardRequest
+from auburncart.state.merge import SearchScope
 
 __all__ = ["Search", "search_of"]
 
@@ -20,6 +21,7 @@
     :param deliver_at: loop time in seconds from which the search is answered without the missing
         parts, if there are enough others.
     :param until: loop time in seconds at which to give up.
+    :param scope: which other VMs may ask shards.
     """
 
     request: ForwardRequest
@@ -30,6 +32,7 @@
     hedge_delay: float
     deliver_at: float
     until: float
+    scope: SearchScope
 
 
 def search_of(request: ForwardRequest, route: Route, deliver_at: float, until: float) -> Search:
@@ -43,4 +46,5 @@
         HEDGE_DELAY_SHARE * route.latency_target,
         min(deliver_at, until),
         until,
+        SearchScope.TIER,
     )
--- a/auburncart/coordination/forwarding/share.py
+++ b/auburncart/coordination/forwarding/share.py
@@ -1,10 +1,101 @@
 """Shares of one VM in the limits that all VMs keep together."""
 
-__all__ = ["connection_share", "slack_share"]
+from collections.abc import Callable, Mapping, Set
+
+from auburncart.coordination.forwarding.replica_registry import ReplicaRegistry
+from auburncart.coordination.forwarding.roster import Roster
+from auburncart.coordination.forwarding.shard_owners import ShardOwners
+from auburncart.state.entryvm import EntryVm
+
+__all__ = ["LimitShares", "connection_share", "share_of"]
 
 NEARBY_CONNECTIONS = 0.6  # of a replica's connections, for the VMs in its region
 # Of the extra requests to a shard, for the VMs near its replicas: they ask it for the other VMs.
 NEARBY_SLACK = 0.9
+OWNER_CONNECTIONS = 0.6  # of a replica's connections, for the owners of its shard
+# Of the extra requests to a shard, for its owners. All other VMs need some: they ask the replicas
+# of a shard whose owners cannot be asked.
+OWNER_SLACK = 0.4
+
+
+class LimitShares:
+    """This VM's shares of the limits on replicas' connections and on extra requests.
+
+    VMs that query a shard for others have larger shares: its owners in a large tier, in a small
+    one the VMs of the regions with its replicas.
+
+    :param own: this VM.
+    :param roster: the VMs.
+    :param registry: replicas, with their data centres.
+    :param owners: the owners of shards.
+    :param shards: returns all shards in the configuration in force.
+    :param regions: region of each data centre.
+    """
+
+    def __init__(
+        self,
+        own: EntryVm,
+        roster: Roster,
+        registry: ReplicaRegistry,
+        owners: ShardOwners,
+        shards: Callable[[], frozenset[str]],
+        regions: Mapping[str, str],
+    ) -> None:
+        self._own = own
+        self._roster = roster
+        self._registry = registry
+        self._owners = owners
+        self._shards = shards
+        self._regions = regions
+        self._counted: tuple[EntryVm, ...] = ()
+        self._region_counts: dict[str, int] = {}
+
+    def slack(self, service: str) -> float:
+        """Return this VM's share of the extra requests to a service."""
+        vms = self._roster.vm_count
+        owners = self._owners.owners_of(service)
+        if owners:
+            return share_of(vms, len(owners), OWNER_SLACK, included=self._own.name in owners)
+        if service not in self._shards():
+            return 1.0 / vms
+        replica_regions = {
+            self._region_of(pool.registration.data_centre)
+            for pool in self._registry.candidates(service)
+        }
+        return share_of(
+            vms,
+            self._count_vms(replica_regions),
+            NEARBY_SLACK,
+            included=self._region_of(self._own.data_centre) in replica_regions,
+        )
+
+    def connections(self, service: str, data_centre: str, limit: int) -> int:
+        """Return the number of connections that this VM may hold to a replica.
+
+        :param data_centre: that of the replica.
+        :param limit: connections that the replica accepts from all VMs together.
+        """
+        vms = self._roster.vm_count
+        owners = self._owners.owners_of(service)
+        if owners:
+            share = share_of(vms, len(owners), OWNER_CONNECTIONS, included=self._own.name in owners)
+            return max(1, int(limit * share))
+        region = self._region_of(data_centre)
+        nearby = region == self._region_of(self._own.data_centre)
+        return connection_share(limit, vms, self._count_vms({region}), nearby=nearby)
+
+    def _region_of(self, data_centre: str) -> str:
+        return self._regions.get(data_centre, "")
+
+    def _count_vms(self, regions: Set[str]) -> int:
+        """Return the number of VMs in the given regions."""
+        if self._counted is not self._roster.members:
+            self._counted = self._roster.members
+            self._region_counts = {}
+            for vm in self._counted:
+                region = self._region_of(vm.data_centre)
+                self._region_counts[region] = self._region_counts.get(region, 0) + 1
+        return sum(self._region_counts.get(region, 0) for region in regions)
 
 
 def connection_share(limit: int, vm_count: int, nearby_count: int, *, nearby: bool) -> int:
@@ -20,25 +111,25 @@
     >>> connection_share(26, 8, 0, nearby=False)
     3
     """
-    return max(1, int(limit * _share(vm_count, nearby_count, NEARBY_CONNECTIONS, nearby=nearby)))
+    share = share_of(vm_count, nearby_count, NEARBY_CONNECTIONS, included=nearby)
+    return max(1, int(limit * share))
 
 
-def slack_share(vm_count: int, nearby_count: int, *, nearby: bool) -> float:
-    """Return the share of a shard's extra requests that one VM may send.
+def share_of(vm_count: int, favoured_count: int, favoured_share: float, *, included: bool) -> float:
+    """Return one VM's share of a limit of which some VMs together have a larger part.
 
     :param vm_count: number of VMs.
-    :param nearby_count: number of VMs in regions with a replica of the shard.
-    :param nearby: whether this VM is one of those.
+    :param favoured_count: number of VMs that share the larger part.
+    :param favoured_share: their part, at most 1.
+    :param included: whether this VM is one of them.
 
-    >>> round(slack_share(9, 6, nearby=True), 3), round(slack_share(9, 6, nearby=False), 3)
+    >>> round(share_of(9, 6, 0.9, included=True), 3), round(share_of(9, 6, 0.9, included=False), 3)
     (0.15, 0.033)
-    >>> slack_share(4, 4, nearby=True)
+    >>> share_of(4, 4, 0.9, included=True)
     0.25
     """
-    return _share(vm_count, nearby_count, NEARBY_SLACK, nearby=nearby)
-
-
-def _share(vm_count: int, nearby_count: int, share: float, *, nearby: bool) -> float:
-    if not nearby_count or nearby_count >= vm_count:
+    if not favoured_count or favoured_count >= vm_count:
         return 1.0 / max(1, vm_count)
-    return share / nearby_count if nearby else (1.0 - share) / (vm_count - nearby_count)
+    if included:
+        return favoured_share / favoured_count
+    return (1.0 - favoured_share) / (vm_count - favoured_count)
--- a/auburncart/coordination/forwarding/tests/test_delegation.py
+++ b/auburncart/coordination/forwarding/tests/test_delegation.py
@@ -6,8 +6,10 @@
 from collections.abc import AsyncIterator
 from types import SimpleNamespace
 
-from auburncart.coordination.forwarding.delegation import Delegation, MergeLink
+from auburncart.coordination.forwarding.delegation import Delegation
+from auburncart.coordination.forwarding.helper_links import MergeLink
 from auburncart.coordination.forwarding.merging import MergeServer, merging_wanted
+from auburncart.coordination.forwarding.shard_owners import ShardOwners
 from auburncart.coordination.forwarding.tests.gateway_fixture import (
     GatewayFixture,
     registration,
@@ -20,7 +22,7 @@
 from auburncart.state.event import Delegated, DelegationFailed, MergedForPeer
 from auburncart.state.failure import Ran, Refusal, RefusalCode
 from auburncart.state.forward import ForwardRequest, MergedAnswer, Reply
-from auburncart.state.merge import MergeAnswer, MergeQuestion
+from auburncart.state.merge import MergeAnswer, MergeQuestion, SearchScope
 from auburncart.tests.virtual import virtual_time
 
 SHARDS = 8
@@ -89,11 +91,13 @@
 
     def delegation(self, fixture: GatewayFixture) -> Delegation:
         roster = SimpleNamespace(members=(OWN, HELPER))
+        owners = ShardOwners(frozenset, fixture.registry, roster, lambda location: 2)
         return Delegation(
             OWN.name,
             fixture.registry,
             roster,
             lambda location: 2,
+            owners,
             lambda vm: self.link,
             fixture.journal,
         )
@@ -214,7 +218,7 @@
             entry = registration(f"s{number}", 2)._replace(data_centre=near.data_centre)
             self.asker.registry.install(entry)
         delegation._distance = lambda location: 0 if location == near.data_centre else 2
-        direct, groups = delegation.split(route.shards)
+        direct, groups = delegation.split(route.shards, SearchScope.TIER)
         self.assertEqual(direct, ("s0", "s1", "s2"))
         self.assertEqual([len(group.shards) for group in groups], [SHARDS - 3])
 
--- /dev/null
+++ b/auburncart/coordination/forwarding/tests/tier_fixture.py
@@ -0,0 +1,143 @@
+"""A tier of many VMs with stand-in replicas and links, for tests on virtual time."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from types import SimpleNamespace
+
+from auburncart.coordination.forwarding.delegation import Delegation
+from auburncart.coordination.forwarding.helper_links import MergeLink
+from auburncart.coordination.forwarding.merging import MergeServer
+from auburncart.coordination.forwarding.shard_owners import ShardOwners
+from auburncart.coordination.forwarding.tests.gateway_fixture import GatewayFixture, search
+from auburncart.exception import LinkError, LinkTimeoutError
+from auburncart.standins.replicas import FakeReplicaDialer, ReplicaModel
+from auburncart.state.entryvm import EntryVm
+from auburncart.state.forward import Reply
+from auburncart.state.merge import MergeAnswer, MergeQuestion
+from auburncart.state.registration import Registration
+
+__all__ = ["REGIONS", "FakeLink", "Tier", "TierVm"]
+
+REGIONS = {"dc1": "north", "dc2": "south", "dc3": "north", "dc4": "west"}
+ONE_WAY_SECONDS = (0.0001, 0.0005, 0.008)  # by distance
+ACCEPTANCE_SECONDS = 0.022  # after which a VM that does not accept a question is silent
+
+
+def distance(own: str, other: str) -> int:
+    if own == other:
+        return 0
+    return 1 if REGIONS[own] == REGIONS[other] else 2
+
+
+class FakeLink(MergeLink):
+    """Link between two VMs of a tier, without sockets.
+
+    ``closed`` makes it unusable, ``silent`` loses everything that is sent on it.
+    """
+
+    def __init__(self, tier: "Tier", asker: EntryVm, vm: EntryVm) -> None:
+        self._tier = tier
+        self._vm = vm
+        self._delay = ONE_WAY_SECONDS[distance(asker.data_centre, vm.data_centre)]
+        self.silent = False
+
+    @property
+    def usable(self) -> bool:
+        return self._vm.name not in self._tier.closed
+
+    @property
+    def round_trip(self) -> float:
+        return 2.0 * self._delay
+
+    @property
+    def outstanding(self) -> int:
+        return 0
+
+    async def ask(self, question: MergeQuestion, ping_after: float) -> AsyncIterator[MergeAnswer]:
+        self._tier.questions.append((self._vm.name, question))
+        if self._vm.name in self._tier.silent:
+            await asyncio.sleep(ACCEPTANCE_SECONDS)
+            raise LinkTimeoutError("not accepted", step="reply", peer=self._vm.merge_address)
+        await asyncio.sleep(self._delay)
+        server = self._tier.vms[self._vm.name].server
+        now = asyncio.get_running_loop().time()
+        async with contextlib.aclosing(server.answer(question, "10.0.0.1:9", now)) as answers:
+            async for answer in answers:
+                if self._vm.name in self._tier.closed:
+                    raise LinkError("closed", step="reply", peer=self._vm.merge_address)
+                await asyncio.sleep(self._delay)
+                yield answer
+
+    def close(self) -> None:
+        pass
+
+
+class TierVm(GatewayFixture):
+    """One VM of a tier."""
+
+    def __init__(self, tier: "Tier", vm: EntryVm) -> None:
+        self._tier = tier
+        self.vm = vm
+        super().__init__(
+            tier.route,
+            replicas=tier.replicas,
+            delegation=self._make_delegation,
+        )
+        self.registry._distance = self.distance
+        self.server = MergeServer(self.context, self.request_tracker, lambda: True, self.delegation)
+
+    def distance(self, data_centre: str) -> int:
+        return distance(self.vm.data_centre, data_centre)
+
+    def _make_delegation(self, fixture: GatewayFixture) -> Delegation:
+        shards = frozenset(self._tier.route.shards)
+        self.owners = ShardOwners(lambda: shards, self.registry, self._tier.roster, self.distance)
+        self.delegation = Delegation(
+            self.vm.name,
+            self.registry,
+            self._tier.roster,
+            self.distance,
+            self.owners,
+            lambda vm: FakeLink(self._tier, self.vm, vm),
+            self.journal,
+        )
+        return self.delegation
+
+
+class Tier:
+    """VMs in several data centres, and two replicas of each shard, in ``dc1`` and ``dc2``.
+
+    :param vm_counts: number of VMs in each data centre.
+    :param shards: number of shards.
+    """
+
+    def __init__(self, vm_counts: dict[str, int], shards: int) -> None:
+        self.route = search(shards)
+        self.replicas = FakeReplicaDialer()
+        self.questions: list[tuple[str, MergeQuestion]] = []
+        self.closed: set[str] = set()
+        self.silent: set[str] = set()
+        members = tuple(
+            EntryVm(f"{location}-{number}", location, "", f"10.0.0.{number}:2")
+            for location, count in vm_counts.items()
+            for number in range(count)
+        )
+        self.roster = SimpleNamespace(members=members)
+        self.vms = {vm.name: TierVm(self, vm) for vm in members}
+        for number, shard in enumerate(self.route.shards):
+            for location in ("dc1", "dc2"):
+                instance = f"{shard}/{location}"
+                reply = Reply(200, b"OK", (), bytes([number]) * 16, b"%d" % number)
+                self.replicas.add(instance, ReplicaModel(reply=lambda asked, reply=reply: reply))
+                self._register(Registration(instance, shard, instance, location, 2, False))
+
+    def _register(self, registration: Registration) -> None:
+        for vm in self.vms.values():
+            vm.registry.install(registration)
+
+    async def link(self) -> None:
+        """Let all VMs open their links."""
+        for vm in self.vms.values():
+            vm.delegation._update_links(set())
+        await asyncio.sleep(0.0)
--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -4,15 +4,16 @@
 import random
 import signal
 import sys
-from collections.abc import Callable, Coroutine, Set
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from auburncart.coordination.forwarding.attempts import ForwardingContext
 from auburncart.coordination.forwarding.budget import BudgetBounds, RetryBudget
 from auburncart.coordination.forwarding.choice import ShortestWait
 from auburncart.coordination.forwarding.configuration import ActiveConfiguration
-from auburncart.coordination.forwarding.delegation import OTHER_REGION, Delegation, MergeLink
+from auburncart.coordination.forwarding.delegation import Delegation
 from auburncart.coordination.forwarding.gateway import Gateway
+from auburncart.coordination.forwarding.helper_links import MergeLink
 from auburncart.coordination.forwarding.interfaces import VmListener
 from auburncart.coordination.forwarding.kinds import WATCH_SECONDS, KindSink, KindWatcher
 from auburncart.coordination.forwarding.merging import MergeServer, merging_wanted
@@ -21,7 +22,8 @@
 from auburncart.coordination.forwarding.replica_registry import ReplicaRegistry
 from auburncart.coordination.forwarding.reply_memory import ReplyMemory
 from auburncart.coordination.forwarding.roster import ENTRY_VMS, Roster
-from auburncart.coordination.forwarding.share import connection_share, slack_share
+from auburncart.coordination.forwarding.shard_owners import ShardOwners
+from auburncart.coordination.forwarding.share import LimitShares
 from auburncart.coordination.forwarding.sinks import ConfigurationSink, ReplicaSink
 from auburncart.coordination.shutdown import RequestTracker, Shutdown, ShutdownTimes
 from auburncart.exception import SettingsError
@@ -95,7 +97,7 @@
         bounds = settings.bounds
         self._budget = RetryBudget(
             BudgetBounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_seconds),
-            self._slack_share,
+            lambda service: self._shares.slack(service),
         )
         self._request_tracker = RequestTracker(
             lambda: self._configuration.table is not None and self._replicas.listed
@@ -114,16 +116,26 @@
             self._make_watcher(REPLICAS, self._replicas),
             self._make_watcher(CRASHES, quarantine, CRASH_WATCH_SECONDS),
         )
+        self._owners = ShardOwners(
+            self._all_shards, self._registry, self._roster, settings.distance
+        )
+        self._shares = LimitShares(
+            own, self._roster, self._registry, self._owners, self._all_shards, settings.regions
+        )
         self._delegation = Delegation(
             settings.name,
             self._registry,
             self._roster,
             settings.distance,
+            self._owners,
             self._open_merge_link,
             self._journal,
         )
         self._merge_server = MergeServer(
-            context, self._request_tracker, lambda: self._watchers[1].connected
+            context,
+            self._request_tracker,
+            lambda: self._watchers[1].connected,
+            self._delegation,
         )
         self._gateway = Gateway(
             self._configuration,
@@ -151,6 +163,7 @@
             self._log.run,
             self._registry.run,
             self._roster.run,
+            self._delegation.run,
             self._serve_relay,
             self._serve_merging,
             self._monitor_vm,
@@ -210,11 +223,11 @@
         await self._start_listener(RelayListener(self._settings.relay_address, RelayServer(kinds)))
 
     async def _serve_merging(self) -> None:
-        """Query shards for other VMs once some VMs have no replicas of them."""
+        """Query shards for other VMs once shards have owners, or some VMs lack their replicas."""
         wanted = False
         while not wanted:
             await asyncio.sleep(MERGE_CHECK_INTERVAL_SECONDS)
-            wanted = merging_wanted(
+            wanted = self._owners.active or merging_wanted(
                 self._configuration.table,
                 self._registry,
                 self._roster.members,
@@ -323,40 +336,16 @@
         table = self._configuration.table
         return table.configuration.limits if table else CallerLimits()
 
-    def _slack_share(self, service: str) -> float:
-        """Return this VM's share of the extra requests for a service.
-
-        VMs near a shard's replicas query it for the others; other services are queried by all VMs.
-        """
-        vms = self._roster.vm_count
+    def _all_shards(self) -> frozenset[str]:
         table = self._configuration.table
-        if table is None or service not in table.shards:
-            return 1.0 / vms
-        regions = self._settings.regions
-        replica_regions = {
-            regions.get(pool.registration.data_centre, "")
-            for pool in self._registry.candidates(service)
-        }
-        return slack_share(
-            vms, self._count_vms(replica_regions), nearby=self._settings.region in replica_regions
-        )
+        return table.shards if table else frozenset()
 
     def _connection_share(self, service: str, data_centre: str) -> int:
         table = self._configuration.table
-        service_limits = table.configuration.services.get(service) if table else None
-        if service_limits is None:
+        limits = table.configuration.services.get(service) if table else None
+        if limits is None:
             return 1
-        return connection_share(
-            service_limits.max_connections,
-            self._roster.vm_count,
-            self._count_vms({self._settings.regions.get(data_centre, "")}),
-            nearby=self._settings.distance(data_centre) < OTHER_REGION,
-        )
-
-    def _count_vms(self, regions: Set[str]) -> int:
-        """Return the number of VMs in the given regions."""
-        region_of = self._settings.regions
-        return sum(region_of.get(vm.data_centre) in regions for vm in self._roster.members)
+        return self._shares.connections(service, data_centre, limits.max_connections)
 
 
 def _relay_client() -> RelayClient:
--- a/auburncart/protocol/merge.py
+++ b/auburncart/protocol/merge.py
@@ -7,7 +7,7 @@
 
 from auburncart.exception import ProtocolError
 from auburncart.state.forward import PartialAnswer
-from auburncart.state.merge import Declined, MergeAnswer, MergeQuestion
+from auburncart.state.merge import Accepted, Declined, MergeMessage, MergeQuestion
 
 __all__ = [
     "NumberedAnswer",
@@ -19,7 +19,11 @@
     "encode_question",
 ]
 
-ANSWER_TYPES: dict[str, type] = {"portion": PartialAnswer, "declined": Declined}
+ANSWER_TYPES: dict[str, type] = {
+    "accepted": Accepted,
+    "declined": Declined,
+    "portion": PartialAnswer,
+}
 ANSWER_NAMES = {answer_type: name for name, answer_type in ANSWER_TYPES.items()}
 
 
@@ -34,12 +38,16 @@
     """One of the answers to the question with this number."""
 
     number: int
-    answer: MergeAnswer
+    answer: MergeMessage
 
 
-def encode_question(number: int, question: MergeQuestion) -> bytes:
-    """Return the CBOR of a question."""
-    return cbor2.dumps([number, _builtins(question)])
+def encode_question(number: int, question: MergeQuestion, *, scoped: bool) -> bytes:
+    """Return the CBOR of a question.
+
+    :param scoped: whether the other VM knows scopes; without one it queries the replicas itself.
+    """
+    fields = _builtins(question)
+    return cbor2.dumps([number, fields if scoped else fields[:-1]])
 
 
 def encode_cancellation(number: int) -> bytes:
@@ -47,7 +55,7 @@
     return cbor2.dumps([number, None])
 
 
-def encode_answer(number: int, answer: MergeAnswer) -> bytes:
+def encode_answer(number: int, answer: MergeMessage) -> bytes:
     """Return the CBOR of an answer."""
     return cbor2.dumps([number, ANSWER_NAMES[type(answer)], _builtins(answer)])
 
--- a/auburncart/state/merge.py
+++ b/auburncart/state/merge.py
@@ -1,10 +1,19 @@
 """Searches of which another VM queries some shards, and its answers."""
 
+from enum import StrEnum
 from typing import NamedTuple
 
 from auburncart.state.forward import Header, PartialAnswer
 
-__all__ = ["Declined", "MergeAnswer", "MergeQuestion"]
+__all__ = ["Accepted", "Declined", "MergeAnswer", "MergeMessage", "MergeQuestion", "SearchScope"]
+
+
+class SearchScope(StrEnum):
+    """Which other VMs may query shards of a search for this one."""
+
+    TIER = "tier"  # VMs of all regions
+    REGION = "region"  # owners of the shards in this region
+    REPLICAS = "replicas"  # none: this VM queries the replicas
 
 
 class MergeQuestion(NamedTuple):
@@ -27,6 +36,7 @@
     :param first_answer_delay: time after which the parts so far are sent; later ones follow singly.
     :param timeout: time after which no further parts are awaited.
     :param time_left: time for which the caller waits.
+    :param scope: which further VMs the other VM may ask.
     """
 
     shards: tuple[str, ...]
@@ -44,6 +54,11 @@
     first_answer_delay: float
     timeout: float
     time_left: float
+    scope: SearchScope = SearchScope.REPLICAS
+
+
+class Accepted(NamedTuple):
+    """The VM works on the question; its answers follow."""
 
 
 class Declined(NamedTuple):
@@ -53,3 +68,4 @@
 
 
 MergeAnswer = PartialAnswer | Declined
+MergeMessage = Accepted | MergeAnswer
--- a/auburncart/transport/merge.py
+++ b/auburncart/transport/merge.py
@@ -5,14 +5,16 @@
 import itertools
 import random
 from collections import deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any
 
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.typing import Subprotocol
 
 from auburncart.coordination.backoff import Backoff
-from auburncart.coordination.forwarding.delegation import MergeLink
+from auburncart.coordination.forwarding.helper_links import MergeLink
 from auburncart.coordination.forwarding.journal import Journal
 from auburncart.coordination.forwarding.merging import MergeServer
 from auburncart.exception import LinkError, LinkTimeoutError, ProtocolError
@@ -25,7 +27,7 @@
 )
 from auburncart.state.entryvm import EntryVm
 from auburncart.state.event import DependencyLost, DependencyRegained
-from auburncart.state.merge import Declined, MergeAnswer, MergeQuestion
+from auburncart.state.merge import Accepted, Declined, MergeAnswer, MergeQuestion
 from auburncart.transport.clock import received_at
 from auburncart.transport.websocket import WebSocketListener
 
@@ -36,6 +38,12 @@
 INITIAL_BACKOFF_SECONDS = 0.2
 MAX_BACKOFF_SECONDS = 2.0  # finds a recovered VM within the settling time of a fault
 MAX_MESSAGE_BYTES = 1_000_000  # a question with the longest body, or an answer
+# Messages with scopes and acceptance; VMs of earlier versions do not offer it.
+SCOPED_MERGE = Subprotocol("merge.2")
+# Beyond two round trips, for other work of both event loops.
+ACCEPTANCE_MARGIN_SECONDS = 0.02
+SLOW_PONG_TIMEOUT_SECONDS = 1.0  # a VM that is only slow keeps its link
+ROUND_TRIP_SAMPLE_WEIGHT = 0.1  # of a sample that is longer than the estimate
 
 
 class _AnswerQueue:
@@ -44,10 +52,12 @@
     def __init__(self) -> None:
         self._queue: deque[MergeAnswer | LinkError] = deque()
         self._changed = asyncio.Event()
+        self.accepted = asyncio.Event()
 
     def put(self, answer: MergeAnswer | LinkError) -> None:
         """Add an answer, or the error that ends the question."""
         self._queue.append(answer)
+        self.accepted.set()
         self.wake()
 
     def wake(self) -> None:
@@ -88,20 +98,22 @@
         self._vm = vm
         self._journal = journal
         self._socket: ClientConnection | None = None
+        self._silent = False
+        self._lost_at: float | None = None
         self._round_trip = 0.0
         self._pending: dict[int, _AnswerQueue] = {}
         self._question_ids = itertools.count(1)
         self._task = asyncio.create_task(self._run(), name=f"merge link to {vm.name}")
-        self._cancellations: set[asyncio.Task[None]] = set()
+        self._background_tasks: set[asyncio.Task[None]] = set()
 
     @property
     def usable(self) -> bool:
-        """Whether the link is open."""
-        return self._socket is not None
+        """Whether the link is open and the VM has not fallen silent."""
+        return self._socket is not None and not self._silent
 
     @property
     def round_trip(self) -> float:
-        """Round-trip time in seconds, measured when the link was opened."""
+        """Round-trip time in seconds."""
         return self._round_trip
 
     @property
@@ -112,13 +124,16 @@
     async def ask(self, question: MergeQuestion, ping_after: float) -> AsyncIterator[MergeAnswer]:
         """Ask for some shards; closing the iterator cancels the question."""
         socket = self._socket
-        if socket is None:
+        if socket is None or self._silent:
             raise LinkError("not connected", step="connect", peer=self._vm.merge_address)
         question_id = next(self._question_ids)
         answers = self._pending[question_id] = _AnswerQueue()
         remaining = set(question.shards)
         try:
-            await socket.send(encode_question(question_id, question))
+            scoped = socket.subprotocol == SCOPED_MERGE
+            await socket.send(encode_question(question_id, question, scoped=scoped))
+            if scoped:
+                await self._wait_for_acceptance(socket, answers)
             if not await answers.wait(ping_after):
                 await self._check_alive(socket, answers)
             while remaining:
@@ -145,8 +160,6 @@
     async def _run(self) -> None:
         """Keep the websocket open and receive answers; runs until cancelled."""
         backoff = Backoff(random.Random(), INITIAL_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS)
-        lost_at: float | None = None
-        loop = asyncio.get_running_loop()
         while True:
             try:
                 async with connect(
@@ -155,25 +168,21 @@
                     ping_interval=None,
                     compression=None,
                     max_size=MAX_MESSAGE_BYTES,
+                    subprotocols=[SCOPED_MERGE],
                     proxy=None,
                     close_timeout=PONG_TIMEOUT_SECONDS,
                 ) as socket:
-                    if lost_at is not None:
-                        downtime = loop.time() - lost_at
-                        self._journal.record(DependencyRegained(self._dependency, downtime))
-                        lost_at = None
+                    self._record_regained()
                     backoff.reset()
                     self._round_trip = await self._measure_round_trip(socket)
-                    self._socket = socket
+                    self._socket, self._silent = socket, False
                     reason = await self._receive(socket)
             except (OSError, TimeoutError, WebSocketException) as error:
                 reason = f"{type(error).__name__}: {error}"
             finally:
                 self._socket = None
                 self._fail_pending()
-            if lost_at is None:
-                lost_at = loop.time()
-                self._journal.record(DependencyLost(self._dependency, reason))
+            self._record_lost(reason)
             await asyncio.sleep(backoff.next_delay())
 
     async def _measure_round_trip(self, socket: ClientConnection) -> float:
@@ -188,12 +197,49 @@
                 question_id, answer = decode_answer(data if isinstance(data, bytes) else b"")
                 answers = self._pending.get(question_id)
                 # A cancelled question may still be answered.
-                if answers is not None:
+                if answers is None:
+                    continue
+                if isinstance(answer, Accepted):
+                    answers.accepted.set()
+                else:
                     answers.put(answer)
         except ProtocolError as error:
             return error.reason
         return "closed by the other side"
 
+    async def _wait_for_acceptance(self, socket: ClientConnection, answers: _AnswerQueue) -> None:
+        """Wait until the VM works on a question, and measure the round trip.
+
+        :raises LinkTimeoutError: the VM is slow or does not respond.
+        """
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        timeout = 2.0 * self._round_trip + ACCEPTANCE_MARGIN_SECONDS
+        try:
+            async with asyncio.timeout(timeout):
+                await answers.accepted.wait()
+        except TimeoutError:
+            reason = f"not accepted within {timeout:.3f} s"
+            if not self._silent:
+                self._silent = True
+                self._record_lost(reason)
+                self._start_task(self._close_if_silent(socket), "check a link")
+            raise LinkTimeoutError(reason, step="reply", peer=self._vm.merge_address) from None
+        sample = loop.time() - sent_at
+        weight = ROUND_TRIP_SAMPLE_WEIGHT if sample > self._round_trip else 1.0
+        self._round_trip += weight * (sample - self._round_trip)
+
+    async def _close_if_silent(self, socket: ClientConnection) -> None:
+        """Close the link unless the VM responds; one that is only slow keeps it."""
+        try:
+            async with asyncio.timeout(SLOW_PONG_TIMEOUT_SECONDS):
+                await (await socket.ping())
+        except (TimeoutError, ConnectionClosed):
+            socket.transport.abort()
+        else:
+            self._silent = False
+            self._record_regained()
+
     async def _check_alive(self, socket: ClientConnection, answers: _AnswerQueue) -> None:
         """Wait for a pong or an answer, and close the link if neither arrives.
 
@@ -213,14 +259,28 @@
             with contextlib.suppress(ConnectionClosed):  # closing also cancels the question
                 await socket.send(encode_cancellation(question_id))
 
-        task = asyncio.create_task(send(), name="cancel a question")
-        self._cancellations.add(task)
-        task.add_done_callback(self._cancellations.discard)
+        self._start_task(send(), "cancel a question")
+
+    def _start_task(self, coroutine: Coroutine[Any, Any, None], name: str) -> None:
+        task = asyncio.create_task(coroutine, name=name)
+        self._background_tasks.add(task)
+        task.add_done_callback(self._background_tasks.discard)
 
     def _fail_pending(self) -> None:
         for answers in self._pending.values():
             answers.put(self._link_error("the link was closed"))
 
+    def _record_lost(self, reason: str) -> None:
+        if self._lost_at is None:
+            self._lost_at = asyncio.get_running_loop().time()
+            self._journal.record(DependencyLost(self._dependency, reason))
+
+    def _record_regained(self) -> None:
+        if self._lost_at is not None:
+            downtime = asyncio.get_running_loop().time() - self._lost_at
+            self._lost_at = None
+            self._journal.record(DependencyRegained(self._dependency, downtime))
+
     def _link_error(self, reason: object) -> LinkError:
         return LinkError(str(reason), step="reply", peer=self._vm.merge_address)
 
@@ -237,7 +297,7 @@
     """
 
     def __init__(self, address: str, server: MergeServer) -> None:
-        super().__init__(address, MAX_MESSAGE_BYTES)
+        super().__init__(address, MAX_MESSAGE_BYTES, [SCOPED_MERGE])
         self._server = server
 
     async def _serve(self, socket: ServerConnection) -> None:
@@ -257,6 +317,8 @@
                 )
                 questions[question_id] = task
                 task.add_done_callback(_remover(questions, question_id))
+                if socket.subprotocol == SCOPED_MERGE:
+                    await socket.send(encode_answer(question_id, Accepted()))
         except (ConnectionClosed, ProtocolError):
             pass  # the other VM has stopped or speaks another version; the link is closed
         finally:
--- a/auburncart/transport/websocket.py
+++ b/auburncart/transport/websocket.py
@@ -1,8 +1,10 @@
 """Base class of the websocket listeners between VMs."""
 
 from abc import abstractmethod
+from collections.abc import Sequence
 
 from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.typing import Subprotocol
 
 from auburncart.coordination.forwarding.interfaces import VmListener
 from auburncart.transport.client import split_address
@@ -15,18 +17,28 @@
 
     :param address: ``"IP:port"`` to listen on.
     :param max_bytes: maximum message size.
+    :param subprotocols: versions of the messages beside the first one, which has no name.
     """
 
-    def __init__(self, address: str, max_bytes: int) -> None:
+    def __init__(
+        self, address: str, max_bytes: int, subprotocols: Sequence[Subprotocol] = ()
+    ) -> None:
         self._address = address
         self._max_bytes = max_bytes
+        self._subprotocols = subprotocols
         self._listener: Server | None = None
 
     async def start(self) -> None:
         """Listen."""
         host, port = split_address(self._address)
         self._listener = await serve(
-            self._serve, host, port, ping_interval=None, compression=None, max_size=self._max_bytes
+            self._serve,
+            host,
+            port,
+            ping_interval=None,
+            compression=None,
+            max_size=self._max_bytes,
+            select_subprotocol=self._select_subprotocol,
         )
 
     async def stop(self) -> None:
@@ -38,6 +50,11 @@
             socket.transport.abort()
         await self._listener.wait_closed()
 
+    def _select_subprotocol(
+        self, socket: ServerConnection, offered: Sequence[Subprotocol]
+    ) -> Subprotocol | None:
+        return next((name for name in self._subprotocols if name in offered), None)
+
     @abstractmethod
     async def _serve(self, socket: ServerConnection) -> None:
         """Serve one websocket until it closes."""
