Shards have owners beside each of their replicas

Cause: the owners of a group stood in a data centre with replicas of half of its shards; where the replicas of each shard stand in other data centres than those of the next, as on the large site, no group had owners. Change: the shards of each data centre are divided into groups by their hashes. Figures: test_shard_owners failed first (no owner for shards spread over three data centres).

--- a/auburncart/coordination/forwarding/shard_owners.py
+++ b/auburncart/coordination/forwarding/shard_owners.py
@@ -6,10 +6,11 @@
 measurements are recent.
 """
 
-import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import NamedTuple
 
+import xxhash
+
 from auburncart.coordination.forwarding.replica_registry import ReplicaRegistry
 from auburncart.coordination.forwarding.roster import Roster
 from auburncart.coordination.rendezvous import rendezvous_select
@@ -34,7 +35,7 @@
 
 
 class ShardOwners:
-    """Assigns all shards to owners in each data centre that has most of their replicas.
+    """Assigns each shard to owners in each data centre with a replica of it.
 
     All VMs with the same configuration and list of VMs assign them alike; where they differ for a
     while, a shard has more owners.
@@ -91,45 +92,43 @@
         for vm in self._roster.members:
             if vm.merge_address:
                 vms.setdefault(vm.data_centre, {})[vm.name] = vm
-        groups = []
-        for number, shards in enumerate(_divide(sorted(self._shards()))):
-            owners = {
-                location: tuple(
-                    vms[location][name]
-                    for name in rendezvous_select(
-                        f"{location}/{number}", vms[location], OWNERS_PER_GROUP
-                    )
-                )
-                for location in self._locations_of_most(shards)
-                if location in vms
-            }
-            names = frozenset(vm.name for chosen in owners.values() for vm in chosen)
-            self._owners.update(dict.fromkeys(shards, names))
-            near = min(
-                owners, key=lambda location: (self._distance(location), location), default=""
-            )
-            if near and self._distance(near) < OTHER_REGION:
-                groups.append(OwnedShards(frozenset(shards), owners[near]))
-        self._groups = tuple(groups)
-
-    def _locations_of_most(self, shards: Iterable[str]) -> list[str]:
-        """Return the data centres with a replica of at least half of the shards."""
-        counts: dict[str, int] = {}
-        total = 0
-        for shard in shards:
-            total += 1
+        near: dict[str, tuple[int, str]] = {}
+        groups: dict[tuple[str, int], list[str]] = {}
+        for location, shards in self._shards_by_location().items():
+            if location not in vms:
+                continue
+            for shard in shards:
+                place = self._distance(location), location
+                near[shard] = min(near.get(shard, place), place)
+            for number, group in enumerate(_divide(shards)):
+                groups[location, number] = group
+        for (location, number), shards in groups.items():
+            names = rendezvous_select(f"{location}/{number}", vms[location], OWNERS_PER_GROUP)
+            for shard in shards:
+                self._owners[shard] = self._owners.get(shard, frozenset()).union(names)
+            asked = frozenset(shard for shard in shards if near[shard][1] == location)
+            if asked and self._distance(location) < OTHER_REGION:
+                owners = tuple(vms[location][name] for name in names)
+                self._groups += (OwnedShards(asked, owners),)
+
+    def _shards_by_location(self) -> dict[str, list[str]]:
+        """Return the shards with a replica in each data centre."""
+        locations: dict[str, list[str]] = {}
+        for shard in sorted(self._shards()):
             for location in {
                 pool.registration.data_centre for pool in self._registry.candidates(shard)
             }:
-                counts[location] = counts.get(location, 0) + 1
-        return [location for location, count in counts.items() if 2 * count >= total]
+                locations.setdefault(location, []).append(shard)
+        return locations
 
 
-def _divide(names: list[str]) -> list[list[str]]:
-    """Divide names into groups of about the same size."""
-    count = -(-len(names) // SHARDS_PER_OWNER)
-    bounds = [len(names) * number // max(1, count) for number in range(count + 1)]
-    return [names[start:end] for start, end in itertools.pairwise(bounds)]
+def _divide(shards: list[str]) -> list[list[str]]:
+    """Divide shards by their hashes, so that one more or less moves few others."""
+    count = -(-len(shards) // SHARDS_PER_OWNER)
+    groups: list[list[str]] = [[] for _ in range(count)]
+    for shard in shards:
+        groups[xxhash.xxh64_intdigest(shard.encode()) % count].append(shard)
+    return groups
 
 
 def _same(one: object, other: object) -> bool:
--- a/auburncart/coordination/forwarding/tests/test_shard_owners.py
+++ b/auburncart/coordination/forwarding/tests/test_shard_owners.py
@@ -43,6 +43,24 @@
         self.assertEqual(west, ())
         self.assertEqual(sum(len(owned.shards) for owned in north), SHARDS)
 
+    @virtual_time
+    async def test_replicas_spread_over_data_centres_have_owners_beside_them(self) -> None:
+        """Each shard has a replica in two of three data centres of two regions."""
+        tier = Tier(VM_COUNTS, SHARDS, (("dc1", "dc2"), ("dc2", "dc3"), ("dc3", "dc1")))
+        await tier.link()
+        for name in ("dc1-0", "dc2-0", "dc3-0"):
+            vm = tier.vms[name]
+            owned = [shard for group in vm.owners.groups for shard in group.shards]
+            self.assertEqual(len(owned), len(set(owned)))
+            regional = [
+                shard
+                for shard in tier.route.shards
+                if any(pool.distance < 2 for pool in vm.registry.candidates(shard))
+            ]
+            self.assertEqual(set(owned), set(regional))
+            for group in vm.owners.groups:
+                self.assertEqual(len({owner.data_centre for owner in group.vms}), 1)
+
     @virtual_time
     async def test_a_lost_vm_moves_only_its_own_shards(self) -> None:
         tier = await self.build()
--- a/auburncart/coordination/forwarding/tests/tier_fixture.py
+++ b/auburncart/coordination/forwarding/tests/tier_fixture.py
@@ -106,13 +106,20 @@
 
 
 class Tier:
-    """VMs in several data centres, and two replicas of each shard, in ``dc1`` and ``dc2``.
+    """VMs in several data centres, and replicas of each shard.
 
     :param vm_counts: number of VMs in each data centre.
     :param shards: number of shards.
+    :param locations: data centres of the replicas of the first, second and further shards; they
+        repeat.
     """
 
-    def __init__(self, vm_counts: dict[str, int], shards: int) -> None:
+    def __init__(
+        self,
+        vm_counts: dict[str, int],
+        shards: int,
+        locations: tuple[tuple[str, ...], ...] = (("dc1", "dc2"),),
+    ) -> None:
         self.route = search(shards)
         self.replicas = FakeReplicaDialer()
         self.questions: list[tuple[str, MergeQuestion]] = []
@@ -126,7 +133,7 @@
         self.roster = SimpleNamespace(members=members)
         self.vms = {vm.name: TierVm(self, vm) for vm in members}
         for number, shard in enumerate(self.route.shards):
-            for location in ("dc1", "dc2"):
+            for location in locations[number % len(locations)]:
                 instance = f"{shard}/{location}"
                 reply = Reply(200, b"OK", (), bytes([number]) * 16, b"%d" % number)
                 self.replicas.add(instance, ReplicaModel(reply=lambda asked, reply=reply: reply))
