The list of VMs is relayed; VMs that start wait for their readers

Each VM listed all VMs each 10 s, all VMs of a data centre listed everything at the store when they restarted with their readers, the kind of crash reports was watched anew each 2.5 s, and an entry that was in the store was written again at each start. A registration that failed once was never repeated. Change: readers list the VMs each 5 s and relay the list; a VM waits up to 1.5 s for a reader; crash reports are watched for 25 s by readers too; a VM registers only if the list has lacked it for 15 s.

--- a/auburncart/coordination/forwarding/kinds.py
+++ b/auburncart/coordination/forwarding/kinds.py
@@ -11,13 +11,14 @@
 from auburncart.exception import AuburncartError, HistoryLostError, StoreUnavailableError
 from auburncart.state.event import DependencyLost, DependencyRegained, EntryUnreadable
 
-__all__ = ["Changes", "Entry", "KindWatcher", "KindSink", "KindStore", "Page"]
+__all__ = ["WATCH_SECONDS", "Changes", "Entry", "KindSink", "KindStore", "KindWatcher", "Page"]
 
 WATCH_SECONDS = 5.0  # a store that is unreachable from this VM is noticed within one watch
 COALESCE_SECONDS = 0.4  # joins changes in quick succession; a tenth of the time bounds
 MAX_HISTORY_CHANGES = 2000  # kept for other VMs; several bursts of configurations and releases
 # A relayed watch and one second; with older data other VMs must not rely on this one.
 MAX_FRESH_SECONDS = 3.5
+WATCH_MARGIN_SECONDS = 1.0
 INITIAL_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 1.0  # a store that is back must be noticed within two seconds
 
@@ -130,6 +131,9 @@
         self._sink = sink
         self._journal = journal
         self._watch_seconds = watch_seconds
+        self._max_fresh_seconds = MAX_FRESH_SECONDS
+        if watch_seconds > WATCH_SECONDS:
+            self._max_fresh_seconds = watch_seconds + WATCH_MARGIN_SECONDS
         self._backoff = Backoff(rng, INITIAL_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS)
         self._revision: int | None = None
         self._newest = 0  # revision, also while there is none to watch from
@@ -153,7 +157,7 @@
     @property
     def fresh(self) -> bool:
         """Whether the known objects are recent enough for other VMs."""
-        return self._lost_at is None and self.age <= MAX_FRESH_SECONDS
+        return self._lost_at is None and self.age <= self._max_fresh_seconds
 
     def page(self) -> Page:
         """Return all known objects, for another VM."""
--- a/auburncart/coordination/forwarding/relay.py
+++ b/auburncart/coordination/forwarding/relay.py
@@ -6,8 +6,14 @@
 from typing import Any
 
 from auburncart.coordination.forwarding.journal import Journal
-from auburncart.coordination.forwarding.kinds import Changes, KindStore, KindWatcher, Page
-from auburncart.coordination.forwarding.roster import Roster
+from auburncart.coordination.forwarding.kinds import (
+    WATCH_SECONDS,
+    Changes,
+    KindStore,
+    KindWatcher,
+    Page,
+)
+from auburncart.coordination.forwarding.roster import ENTRY_VMS, Roster
 from auburncart.exception import HistoryLostError, LinkError, StoreUnavailableError
 from auburncart.state.entryvm import EntryVm
 from auburncart.state.event import SourceChanged
@@ -18,6 +24,10 @@
 # Together with the next, notices a silent store within the 5 s allowed for a change.
 READER_WATCH_SECONDS = 2.5
 RELAY_WAIT_SECONDS = 1.0  # then a reader, in the same data centre, is asked again if it is fresh
+# VMs that start together with their readers wait for them: all lists at once are most of a day's
+# calls of the store.
+READER_START_SECONDS = 1.5
+READER_RETRY_SECONDS = 0.25
 
 
 class RelayClient(ABC):
@@ -43,13 +53,17 @@
     """Answers other VMs from the objects that this one watches in the store.
 
     :param watchers: this VM's watchers by kind.
+    :param roster: the VMs.
     """
 
-    def __init__(self, watchers: dict[str, KindWatcher]) -> None:
+    def __init__(self, watchers: dict[str, KindWatcher], roster: Roster) -> None:
         self._watchers = watchers
+        self._roster = roster
 
     def list(self, kind: str) -> Page:
         """Return all objects of a kind."""
+        if kind == ENTRY_VMS:
+            return self._roster.page()
         return self._fresh_watcher(kind).page()
 
     async def changes(self, kind: str, revision: int, wait: float) -> Changes:
@@ -95,7 +109,20 @@
     async def list(self, kind: str, after: str = "", *, stale: bool = False) -> Page:
         """Return the objects of a kind; another VM returns all in one page."""
         await self._roster.wait_until_listed()
-        for vm in self._roster.relay_sources() if not after else ():
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + READER_START_SECONDS
+        while not after and self._roster.relay_sources():
+            page = await self._first_page(kind)
+            if page is not None:
+                return page
+            if loop.time() >= give_up_at:
+                break
+            await asyncio.sleep(READER_RETRY_SECONDS)
+        return await self._store.list(kind, after, stale=stale)
+
+    async def _first_page(self, kind: str) -> Page | None:
+        """Return the objects that the first fresh reader knows, None if no reader is fresh."""
+        for vm in self._roster.relay_sources():
             try:
                 page = await self._client.list(vm.address, kind)
             except LinkError as error:
@@ -103,30 +130,30 @@
                 continue
             self._set_source(kind, vm.name, "")
             return page
-        return await self._store.list(kind, after, stale=stale)
+        return None
 
     async def changes(self, kind: str, revision: int, wait: float) -> Changes:
         """Wait for changes at all readers at once, or at the store if no reader is fresh."""
         sources = self._roster.relay_sources()
+        # Kinds that are watched for longer may be less recent.
+        relay_wait = max(RELAY_WAIT_SECONDS, wait - WATCH_SECONDS)
         if sources:
-            changes = await self._first_changes(sources, kind, revision)
+            changes = await self._first_changes(sources, kind, revision, relay_wait)
             if changes is not None:
                 return changes
-        if self._roster.relaying:
+        if self._roster.relaying and wait <= WATCH_SECONDS:
             wait = min(wait, READER_WATCH_SECONDS)
         return await self._store.changes(kind, revision, wait)
 
     async def _first_changes(
-        self, sources: tuple[EntryVm, ...], kind: str, revision: int
+        self, sources: tuple[EntryVm, ...], kind: str, revision: int, wait: float
     ) -> Changes | None:
         """Return the changes that a reader reports first, None if no reader is fresh.
 
         All are asked, since a reader may be cut off from the store for a while before it notices.
         """
         vms_by_task = {
-            asyncio.create_task(
-                self._client.changes(vm.address, kind, revision, RELAY_WAIT_SECONDS)
-            ): vm
+            asyncio.create_task(self._client.changes(vm.address, kind, revision, wait)): vm
             for vm in sources
         }
         answer: Changes | None = None
--- a/auburncart/coordination/forwarding/roster.py
+++ b/auburncart/coordination/forwarding/roster.py
@@ -6,8 +6,8 @@
 import xxhash
 
 from auburncart.coordination.forwarding.journal import Journal
-from auburncart.coordination.forwarding.kinds import KindStore
-from auburncart.exception import AuburncartError
+from auburncart.coordination.forwarding.kinds import Entry, KindStore, Page
+from auburncart.exception import AuburncartError, StoreUnavailableError
 from auburncart.state.entryvm import EntryVm
 from auburncart.state.event import DependencyLost, RosterChanged
 
@@ -15,6 +15,11 @@
 
 ENTRY_VMS = "entry-vms"  # kind of the objects in the store that register VMs
 LIST_INTERVAL_SECONDS = 10.0  # a VM that joins has few callers at first
+READER_LIST_INTERVAL_SECONDS = 5.0  # of the VMs from which all others have the list
+# A list that lacks this VM may be from before its registration: it is read at a reader, which read
+# it some seconds ago from a store whose reply may be seconds old.
+REGISTRATION_LAG_SECONDS = 15.0
+MAX_RELAYED_AGE_SECONDS = 12.0  # two intervals of a reader, and a slow reply of the store
 REGISTRATION_SECONDS = 1.0  # VMs that start together have registered by then
 READERS_PER_DATA_CENTRE = 2  # that watch the store, since one may be lost at any time
 # With fewer VMs, watches cost less than the memory of the library that relays need.
@@ -39,6 +44,10 @@
         self._journal = journal
         self._first_start = first_start
         self._vms: tuple[EntryVm, ...] = (own,)
+        self._registered_at = float("-inf")
+        self._leaving = False
+        self._read_at = float("-inf")
+        self._revision = 0
         self._listed = asyncio.Event()
         self._relaying = asyncio.Event()
 
@@ -80,25 +89,43 @@
         """Wait until there are so many VMs that some read the store for the others."""
         await self._relaying.wait()
 
-    async def run(self) -> None:
-        """Register this VM and list all VMs periodically; runs until cancelled."""
+    def page(self) -> Page:
+        """Return all VMs, for another VM.
+
+        :raises StoreUnavailableError: this VM has not read the list from the store lately.
+        """
+        if asyncio.get_running_loop().time() - self._read_at > MAX_RELAYED_AGE_SECONDS:
+            raise StoreUnavailableError("the list of VMs is not fresh", step="relay", sent=False)
+        entries = tuple(Entry(vm.name, vm, self._revision) for vm in self._vms)
+        return Page(entries, False, self._revision)
+
+    async def run(self, relayed: KindStore) -> None:
+        """Register this VM and list all VMs periodically; runs until cancelled.
+
+        :param relayed: lists them through another VM where one relays, after the first time.
+        """
         if self._first_start:
             await self._log_errors(self._register)
             await asyncio.sleep(REGISTRATION_SECONDS)
-        else:
-            await self._log_errors(self._list)
-            self._listed.set()
-            await self._log_errors(self._register)
-            await asyncio.sleep(LIST_INTERVAL_SECONDS)
         while True:
-            await self._log_errors(self._list)
+            store = relayed if self._listed.is_set() else self._store
+            await self._log_errors(lambda store=store: self._list(store))  # type: ignore[misc]
             self._listed.set()
-            await asyncio.sleep(LIST_INTERVAL_SECONDS)
+            # Also after a deletion or a lost call of this VM's previous process.
+            if self._registration_missing():
+                await self._log_errors(self._register)
+            reads = self.relaying and not self.relay_sources()
+            await asyncio.sleep(READER_LIST_INTERVAL_SECONDS if reads else LIST_INTERVAL_SECONDS)
 
     async def unregister(self) -> None:
         """Remove this VM from the list."""
+        self._leaving = True
         await self._log_errors(lambda: self._store.delete(ENTRY_VMS, self._own.name))
 
+    def _registration_missing(self) -> bool:
+        age = asyncio.get_running_loop().time() - self._registered_at
+        return not self._leaving and age > REGISTRATION_LAG_SECONDS
+
     async def _register(self) -> None:
         own = {
             "data_centre": self._own.data_centre,
@@ -106,14 +133,21 @@
             "merge_address": self._own.merge_address,
         }
         await self._store.put(ENTRY_VMS, self._own.name, own)
+        self._registered_at = asyncio.get_running_loop().time()
 
-    async def _list(self) -> None:
-        page = await self._store.list(ENTRY_VMS, stale=True)
+    async def _list(self, store: KindStore) -> None:
+        direct = store is self._store or not self.relay_sources()
+        page = await store.list(ENTRY_VMS, stale=True)
         entries = list(page.entries)
         while page.has_more:
-            page = await self._store.list(ENTRY_VMS, page.entries[-1].name, stale=True)
+            page = await store.list(ENTRY_VMS, page.entries[-1].name, stale=True)
             entries += page.entries
+        if direct:
+            self._read_at = asyncio.get_running_loop().time()
+            self._revision = page.revision
         found = {entry.name: entry.value for entry in entries if entry.value is not None}
+        if found.get(self._own.name) == self._own:
+            self._registered_at = asyncio.get_running_loop().time()
         found[self._own.name] = self._own
         vms = tuple(sorted(found.values()))
         if vms != self._vms:
--- a/auburncart/coordination/forwarding/tests/test_relay.py
+++ b/auburncart/coordination/forwarding/tests/test_relay.py
@@ -120,20 +120,20 @@
 
 
 class Vm:
-    def __init__(self, tier: "Tier", number: int) -> None:
+    def __init__(self, tier: "Tier", number: int, *, first_start: bool) -> None:
         own = EntryVm(f"vm{number}", "dc1", f"127.0.0.1:{number}")
         self.up = True
         self.journal = ListJournal()
         self.store = InterruptibleStore(tier.store)
-        self.roster = Roster(self.store, own, self.journal, first_start=True)
+        self.roster = Roster(self.store, own, self.journal, first_start=first_start)
         relayed = RelayedStore(self.store, lambda: tier, self.roster, self.journal)
         self.sink = RecordingSink()
         self.watcher = KindWatcher(
             relayed, "things", self.sink, self.journal, random.Random(number)
         )
-        self.server = RelayServer({"things": self.watcher})
+        self.server = RelayServer({"things": self.watcher}, self.roster)
         self.tasks = [
-            asyncio.create_task(self.roster.run()),
+            asyncio.create_task(self.roster.run(relayed)),
             asyncio.create_task(self.watcher.run()),
         ]
 
@@ -143,7 +143,20 @@
 
     def __init__(self) -> None:
         self.store = StoreModel()
-        self.vms = {f"127.0.0.1:{number}": Vm(self, number) for number in range(VMS)}
+        self.start(first_start=True)
+
+    def start(self, *, first_start: bool) -> None:
+        """Start all VMs."""
+        self.vms = {
+            f"127.0.0.1:{number}": Vm(self, number, first_start=first_start)
+            for number in range(VMS)
+        }
+
+    def kill(self) -> None:
+        """End all VMs without a shutdown."""
+        for vm in self.vms.values():
+            for task in vm.tasks:
+                task.cancel()
 
     @property
     def readers(self) -> list[Vm]:
@@ -185,7 +198,43 @@
         tier.store.calls = 0
         self.assertLess(await tier.time_to_spread(1), 1.0)
         await asyncio.sleep(20.0)
-        self.assertLess(tier.store.calls, 3 * VMS + 20)
+        self.assertLess(tier.store.calls, VMS + 20)
+
+    @virtual_time
+    async def test_vms_that_restart_together_wait_for_their_readers(self) -> None:
+        tier = Tier()
+        await asyncio.sleep(3.0)
+        await tier.time_to_spread(1)
+        tier.kill()
+        tier.store.calls = 0
+        tier.start(first_start=False)
+        self.assertLess(await tier.time_to_spread(2), 2.0)
+        # Each VM lists the others once; a registration that is in the store is not repeated.
+        self.assertLess(tier.store.calls, VMS + 20)
+
+    @virtual_time
+    async def test_a_vm_without_readers_starts_on_its_own(self) -> None:
+        tier = Tier()
+        await asyncio.sleep(3.0)
+        await tier.time_to_spread(1)
+        readers = tier.readers
+        tier.kill()
+        tier.start(first_start=False)
+        for reader in readers:
+            down = tier.vms[reader.roster._own.address]
+            down.up = False
+            down.store.cut_off = True
+        excluded = tuple(vm for vm in tier.vms.values() if not vm.up)
+        self.assertLess(await tier.time_to_spread(2, excluded=excluded), 4.0)
+
+    @virtual_time
+    async def test_a_vm_whose_registration_was_lost_registers_again(self) -> None:
+        tier = Tier()
+        await asyncio.sleep(3.0)
+        tier.store.members.pop("vm3")
+        await asyncio.sleep(40.0)
+        self.assertIn("vm3", tier.store.members)
+        self.assertTrue(all(len(vm.roster.members) == VMS for vm in tier.vms.values()))
 
     @virtual_time
     async def test_a_reader_cut_off_from_the_store_does_not_delay_the_others(self) -> None:
--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -162,7 +162,7 @@
         background_tasks: tuple[Callable[[], Coroutine[Any, Any, None]], ...] = (
             self._log.run,
             self._registry.run,
-            self._roster.run,
+            lambda: self._roster.run(self._relayed),
             self._delegation.run,
             self._serve_relay,
             self._serve_merging,
@@ -220,7 +220,8 @@
         from auburncart.transport.relay import RelayListener
 
         kinds = dict(zip(KIND_TYPES, self._watchers, strict=True))
-        await self._start_listener(RelayListener(self._settings.relay_address, RelayServer(kinds)))
+        server = RelayServer(kinds, self._roster)
+        await self._start_listener(RelayListener(self._settings.relay_address, server))
 
     async def _serve_merging(self) -> None:
         """Query shards for other VMs once shards have owners, or some VMs lack their replicas."""
@@ -351,7 +352,7 @@
 def _relay_client() -> RelayClient:
     from auburncart.transport.relay import WebSocketRelayClient
 
-    return WebSocketRelayClient(KIND_TYPES)
+    return WebSocketRelayClient(KIND_TYPES | {ENTRY_VMS: EntryVm})
 
 
 async def run_forward(load: Callable[[], ForwardSettings]) -> int:
