--- a/auburncart/coordination/forwarding/attempts.py
+++ b/auburncart/coordination/forwarding/attempts.py
@@ -1,7 +1,6 @@
 """The attempts of one request at the replicas of one service: first, hedged and retried."""
 
 import asyncio
-from collections.abc import Sequence
 from typing import NamedTuple
 
 from auburncart.coordination.forwarding.budget import RetryBudget
@@ -25,9 +24,6 @@
 ]
 
 HEDGE_DELAY_SHARE = 0.45  # of the latency target; leaves the second replica as much time
-# A hedge is sent earlier if a replica of another region would otherwise reply too late, but not
-# before the first replica has taken some times longer than expected.
-MIN_HEDGE_LATENCIES = 2.5
 MAX_UNSENT_ATTEMPTS = 4  # attempts that reached no replica, after which no more are made
 NO_REPLICA = Failure(Step.ROUTE, "", "no replica may be asked", FailureCode.UNREACHABLE, False)
 SERVER_ERRORS = range(500, 600)
@@ -42,7 +38,6 @@
     :param max_attempts: maximum number of replicas to which it is sent.
     :param hedge_delay: seconds after which a second replica is asked.
     :param until: loop time in seconds at which to give up.
-    :param reply_by: loop time in seconds until which a reply is of use to a merged answer.
     """
 
     service: str
@@ -51,7 +46,6 @@
     max_attempts: int
     hedge_delay: float
     until: float
-    reply_by: float = float("inf")
 
 
 class Outcome(NamedTuple):
@@ -138,28 +132,15 @@
             resent=pool in self._tried,
             on_finish=self._mailbox.post,
         )
-        expected = self._context.selection.expected_reply_time(pool)
         self._tried.append(pool)
         self._attempts += 1
         attempt.reason = reason
         self._pending.append(attempt)
         pool.submit(attempt)
         may_hedge = self._policy.idempotent and self._attempts_left()
-        self._hedge_at = self._next_hedge_at(expected, candidates) if may_hedge else float("inf")
-        return True
-
-    def _next_hedge_at(self, expected: float, candidates: Sequence[ReplicaConnectionPool]) -> float:
-        """Return the loop time at which to ask another replica.
-
-        :param expected: seconds after which the replica just asked was expected to reply.
-        """
         now = asyncio.get_running_loop().time()
-        delay = self._policy.hedge_delay
-        other = self._context.selection.pick(candidates, self._tried)
-        if other is not None:
-            last = self._policy.reply_by - now - self._context.selection.expected_reply_time(other)
-            delay = min(delay, max(last, MIN_HEDGE_LATENCIES * expected))
-        return now + delay
+        self._hedge_at = now + self._policy.hedge_delay if may_hedge else float("inf")
+        return True
 
     def _attempts_left(self) -> bool:
         return self._attempts < self._policy.max_attempts
