--- a/auburncart/coordination/forwarding/roster.py
+++ b/auburncart/coordination/forwarding/roster.py
@@ -1,6 +1,7 @@
 """The roster of entry VMs, and which of them read the store for the others."""
 
 import asyncio
+import functools
 from collections.abc import Awaitable, Callable
 
 import xxhash
@@ -109,7 +110,7 @@
             await asyncio.sleep(REGISTRATION_SECONDS)
         while True:
             store = relayed if self._listed.is_set() else self._store
-            await self._log_errors(lambda store=store: self._list(store))  # type: ignore[misc]
+            await self._log_errors(functools.partial(self._list, store))
             self._listed.set()
             # Also after a deletion or a lost call of this VM's previous process.
             if self._registration_missing():
