--- a/auburncart/coordination/forwarding/tests/test_shard_owners.py
+++ b/auburncart/coordination/forwarding/tests/test_shard_owners.py
@@ -180,6 +180,42 @@
         self.assertNotIn("s5/dc1", asked)
         await first
 
+    @virtual_time
+    async def test_shards_of_an_owner_that_leaves_are_asked_once(self) -> None:
+        tier = await self.build()
+        vm = tier.vms["dc3-0"]
+        for name in self.first_owners(tier, vm):
+            tier.vms[name].request_tracker.leave()
+        answer = await self.search(vm)
+        self.assertEqual(answer.missing, 0)
+        self.assertEqual(len(tier.replicas.arrivals), SHARDS)
+
+    @virtual_time
+    async def test_searches_stay_complete_when_half_of_the_vms_are_killed(self) -> None:
+        tier = await self.build()
+        await asyncio.sleep(20.0)
+        tier.closed.update(name for name in tier.vms if int(name.split("-")[1]) % 20 < 11)
+        for number, name in enumerate(("dc1-39", "dc2-39", "dc3-39", "dc4-39")):
+            answer = await self.search(tier.vms[name], number)
+            self.assertEqual(answer.missing, 0)
+        self.assertLessEqual(len(tier.replicas.arrivals), 4 * SHARDS)
+
+    @virtual_time
+    async def test_searches_stay_complete_while_vms_join(self) -> None:
+        """A new VM may own shards before the others have linked to it, or before it is ready."""
+        tier = await self.build({"dc1": 30, "dc2": 30, "dc3": 30})
+        vm = tier.vms["dc3-0"]
+        before = vm.owners.groups
+        joined = tier.join("dc1", 50)
+        for name in joined[:10]:
+            tier.vms[name].request_tracker.leave()
+        self.assertNotEqual(vm.owners.groups, before)
+        for number in range(3):
+            answer = await self.search(vm, number)
+            self.assertEqual(answer.missing, 0)
+            await tier.link()
+        self.assertEqual(len(tier.replicas.arrivals), 3 * SHARDS)
+
     @virtual_time
     async def test_shares_of_all_vms_stay_within_the_limits(self) -> None:
         tier = await self.build()
--- a/auburncart/coordination/forwarding/tests/tier_fixture.py
+++ b/auburncart/coordination/forwarding/tests/tier_fixture.py
@@ -134,13 +134,11 @@
         self.closed: set[str] = set()
         self.silent: set[str] = set()
         self.slow: set[str] = set()
-        members = tuple(
-            EntryVm(f"{location}-{number}", location, "", f"10.0.0.{number}:2")
-            for location, count in vm_counts.items()
-            for number in range(count)
-        )
-        self.roster = SimpleNamespace(members=members)
-        self.vms = {vm.name: TierVm(self, vm) for vm in members}
+        self.registrations: list[Registration] = []
+        self.roster = SimpleNamespace(members=())
+        self.vms: dict[str, TierVm] = {}
+        for location, count in vm_counts.items():
+            self.join(location, count)
         for number, shard in enumerate(self.route.shards):
             for location in locations[number % len(locations)]:
                 instance = f"{shard}/{location}"
@@ -148,7 +146,22 @@
                 self.replicas.add(instance, ReplicaModel(reply=lambda asked, reply=reply: reply))
                 self._register(Registration(instance, shard, instance, location, 2, False))
 
+    def join(self, location: str, count: int) -> list[str]:
+        """Add VMs to a data centre and return their names."""
+        joined = [
+            EntryVm(f"{location}-{number}", location, "", f"10.0.0.{number}:2")
+            for number in range(count)
+            if f"{location}-{number}" not in self.vms
+        ]
+        for vm in joined:
+            self.vms[vm.name] = TierVm(self, vm)
+            for registration in self.registrations:
+                self.vms[vm.name].registry.install(registration)
+        self.roster.members += tuple(joined)
+        return [vm.name for vm in joined]
+
     def _register(self, registration: Registration) -> None:
+        self.registrations.append(registration)
         for vm in self.vms.values():
             vm.registry.install(registration)
 
