Repeat the first list of VMs until it succeeds

Change: the first list is repeated with back-off; until then the assumed number of VMs holds. Figures: test_relay failed first (VMs that took themselves for alone).

--- a/auburncart/coordination/forwarding/roster.py
+++ b/auburncart/coordination/forwarding/roster.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import functools
+import random
 from collections.abc import Awaitable, Callable
 
 import xxhash
 
+from auburncart.coordination.backoff import Backoff
 from auburncart.coordination.forwarding.journal import Journal
 from auburncart.coordination.forwarding.kinds import Entry, KindStore, Page
 from auburncart.exception import AuburncartError, StoreUnavailableError
@@ -21,6 +23,8 @@
 # it some seconds ago from a store whose reply may be seconds old.
 REGISTRATION_LAG_SECONDS = 15.0
 MAX_RELAYED_AGE_SECONDS = 12.0  # two intervals of a reader, and a slow reply of the store
+INITIAL_BACKOFF_SECONDS = 0.1
+MAX_BACKOFF_SECONDS = 1.0  # a store that is back must be noticed within two seconds
 REGISTRATION_SECONDS = 1.0  # VMs that start together have registered by then
 READERS_PER_DATA_CENTRE = 2  # that watch the store, since one may be lost at any time
 # With fewer VMs, watches cost less than the memory of the library that relays need.
@@ -108,15 +112,25 @@
         if self._first_start:
             await self._log_errors(self._register)
             await asyncio.sleep(REGISTRATION_SECONDS)
+        await self._list_first()
         while True:
-            store = relayed if self._listed.is_set() else self._store
-            await self._log_errors(functools.partial(self._list, store))
-            self._listed.set()
             # Also after a deletion or a lost call of this VM's previous process.
             if self._registration_missing():
                 await self._log_errors(self._register)
             reads = self.relaying and not self.relay_sources()
             await asyncio.sleep(READER_LIST_INTERVAL_SECONDS if reads else LIST_INTERVAL_SECONDS)
+            await self._log_errors(functools.partial(self._list, relayed))
+
+    async def _list_first(self) -> None:
+        """List all VMs for the first time; without them shared limits cannot be divided."""
+        backoff = Backoff(
+            random.Random(self._own.name), INITIAL_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS
+        )
+        while True:
+            if await self._log_errors(functools.partial(self._list, self._store)):
+                break
+            await asyncio.sleep(backoff.next_delay())
+        self._listed.set()
 
     async def unregister(self) -> None:
         """Remove this VM from the list."""
@@ -157,11 +171,14 @@
         if self.relaying:
             self._relaying.set()
 
-    async def _log_errors(self, step: Callable[[], Awaitable[None]]) -> None:
+    async def _log_errors(self, step: Callable[[], Awaitable[None]]) -> bool:
+        """Take a step and return whether it succeeded."""
         try:
             await step()
         except AuburncartError as error:
             self._journal.record(DependencyLost(f"store {ENTRY_VMS}", str(error)))
+            return False
+        return True
 
 
 def _hash(name: str) -> int:
--- a/auburncart/coordination/forwarding/tests/test_relay.py
+++ b/auburncart/coordination/forwarding/tests/test_relay.py
@@ -71,13 +71,17 @@
 
 
 class InterruptibleStore(KindStore):
-    """The store as one VM reaches it: gives no answers while ``cut_off``."""
+    """The store as one VM reaches it: silent while ``cut_off``, refuses calls while ``down``."""
 
     def __init__(self, store: StoreModel) -> None:
         self.store = store
         self.cut_off = False
+        self.down = False
 
     async def answer_of(self, call: Any, seconds: float) -> Any:
+        if self.down:
+            call.close()
+            raise StoreUnavailableError("status 503", step="store", sent=False)
         try:
             async with asyncio.timeout(seconds + 2.0):
                 answer = await call
@@ -145,12 +149,14 @@
         self.store = StoreModel()
         self.start(first_start=True)
 
-    def start(self, *, first_start: bool) -> None:
-        """Start all VMs."""
+    def start(self, *, first_start: bool, store_down: bool = False) -> None:
+        """Start all VMs; the store answers them unless ``store_down``."""
         self.vms = {
             f"127.0.0.1:{number}": Vm(self, number, first_start=first_start)
             for number in range(VMS)
         }
+        for vm in self.vms.values():
+            vm.store.down = store_down
 
     def kill(self) -> None:
         """End all VMs without a shutdown."""
@@ -212,6 +218,25 @@
         # Each VM lists the others once; a registration that is in the store is not repeated.
         self.assertLess(tier.store.calls, VMS + 20)
 
+    @virtual_time
+    async def test_vms_that_restart_while_the_store_is_down_do_not_take_themselves_for_alone(
+        self,
+    ) -> None:
+        """Each would otherwise use the connections and extra requests of the whole tier."""
+        tier = Tier()
+        await asyncio.sleep(3.0)
+        await tier.time_to_spread(1)
+        tier.kill()
+        tier.start(first_start=False, store_down=True)
+        await asyncio.sleep(2.0)
+        self.assertTrue(all(vm.roster.vm_count > 1 for vm in tier.vms.values()))
+        tier.store.calls = 0
+        for vm in tier.vms.values():
+            vm.store.down = False
+        self.assertLess(await tier.time_to_spread(2), 3.0)
+        self.assertTrue(all(vm.roster.vm_count == VMS for vm in tier.vms.values()))
+        self.assertLess(tier.store.calls, VMS + 20)
+
     @virtual_time
     async def test_a_vm_without_readers_starts_on_its_own(self) -> None:
         tier = Tier()
