A planned stop accepts the connections that callers have opened

Cause: closing the listening socket resets connections whose handshake the kernel has completed but which the event loop has not accepted; their requests may have arrived already. A connection whose request had arrived but was not yet read counted as idle. Also, select() refuses descriptors from 1024 on: a VM with that many would have failed at the next call to the store. Ruled out: connections already accepted and read; test_front covers those. Change: before closing, the front accepts until the event loop has nothing left to accept; a connection with unread data is not idle; input is looked for with poll().

--- a/auburncart/transport/client.py
+++ b/auburncart/transport/client.py
@@ -4,6 +4,7 @@
 import contextlib
 import select
 import socket
+from asyncio.trsock import TransportSocket
 from typing import NamedTuple
 
 import httptools
@@ -11,7 +12,7 @@
 from auburncart.coordination.forwarding.reply_memory import UNRESERVED_BYTES, ReplyMemory
 from auburncart.exception import LinkError, ProtocolError
 
-__all__ = ["ClientConnection", "RawReply", "split_address"]
+__all__ = ["ClientConnection", "RawReply", "enable_keepalive", "has_input", "split_address"]
 
 KEEPALIVE_IDLE_SECONDS = 1  # finds a dead peer in three seconds, one before settling time ends
 KEEPALIVE_INTERVAL_SECONDS = 1
@@ -111,9 +112,7 @@
         """Whether it is usable and the socket has no unread data and no EOF."""
         if not self.usable or self._transport is None:
             return False
-        sock = self._transport.get_extra_info("socket")
-        readable, _, _ = select.select([sock], [], [], 0)
-        return not readable
+        return not has_input(self._transport.get_extra_info("socket"))
 
     @property
     def address(self) -> str:
@@ -339,6 +338,13 @@
             self._reply_future.set_exception(error)
 
 
+def has_input(sock: socket.socket | TransportSocket) -> bool:
+    """Return whether a socket has unread data, an EOF, an error or a connection to accept."""
+    poll = select.poll()  # unlike select(), for descriptors of any number
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def enable_keepalive(transport: asyncio.Transport) -> None:
     """Enable TCP keepalive and timeouts, so that the kernel closes connections to dead peers."""
     sock = transport.get_extra_info("socket")
--- a/auburncart/transport/front.py
+++ b/auburncart/transport/front.py
@@ -13,7 +13,7 @@
 from auburncart.protocol.forward import CallerCodec, RequestHead, WireReply
 from auburncart.state.configuration import CallerLimits
 from auburncart.state.forward import Header
-from auburncart.transport.client import enable_keepalive, split_address
+from auburncart.transport.client import enable_keepalive, has_input, split_address
 from auburncart.transport.clock import received_at
 
 __all__ = ["ForwardServer", "ReadinessServer"]
@@ -22,6 +22,10 @@
 # Chunk headers and trailers may have as many bytes as the body, and this many more.
 MAX_FRAMING_BYTES = 65_536
 LISTEN_BACKLOG = 1024  # a SYN dropped in a burst of connections is retransmitted only after 1 s
+# Iterations of the event loop without a connection to accept, after which connection_made() has
+# been called for all others; and in total, for when no descriptor is left to accept one.
+QUIET_ITERATIONS = 4
+MAX_ACCEPT_ITERATIONS = 100
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 REASON_PHRASES = {
     200: b"OK",
@@ -88,6 +92,7 @@
     async def finish(self) -> None:
         """Stop listening, close idle connections and wait for the others to be answered."""
         if self._server is not None:
+            await self._accept_waiting(self._server)
             self._server.close()
         for connection in list(self.connections):
             connection.close_if_idle()
@@ -107,6 +112,16 @@
         self.connections.discard(connection)
         self._connection_closed.set()
 
+    async def _accept_waiting(self, server: asyncio.Server) -> None:
+        """Accept the connections that callers have opened; closing the socket would reset them."""
+        quiet_iterations = 0
+        for _ in range(MAX_ACCEPT_ITERATIONS):
+            waiting = any(map(has_input, server.sockets))
+            quiet_iterations = 0 if waiting else quiet_iterations + 1
+            if quiet_iterations == QUIET_ITERATIONS:
+                return
+            await asyncio.sleep(0.0)
+
 
 class _CallerConnection(asyncio.Protocol):
     """One caller's connection; requests are answered in order."""
@@ -178,7 +193,9 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is arriving or being answered."""
-        if not (self._answering or self._received or self._started_at):
+        assert self._transport is not None
+        has_request = self._answering or self._received or self._started_at
+        if not has_request and not has_input(self._transport.get_extra_info("socket")):
             self.close()
 
     def on_message_begin(self) -> None:
--- a/auburncart/transport/tests/test_client.py
+++ b/auburncart/transport/tests/test_client.py
@@ -1,12 +1,13 @@
 import asyncio
 import contextlib
+import fcntl
 import socket
 import struct
 import unittest
 from typing import ClassVar
 
 from auburncart.exception import LinkError, ProtocolError
-from auburncart.transport.client import ClientConnection
+from auburncart.transport.client import ClientConnection, has_input
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 SECONDS = 2.0
@@ -53,6 +54,14 @@
             reply = await self.get_reply(OK)
             self.assertEqual((reply.status, reply.body, reply.keep_alive), (200, b"hi", True))
 
+    async def test_input_is_noticed_on_descriptors_of_any_number(self) -> None:
+        """A VM with a thousand connections has descriptors beyond those that select() takes."""
+        near, far = socket.socketpair()
+        with near, far, socket.socket(fileno=fcntl.fcntl(near, fcntl.F_DUPFD, 1100)) as high:
+            self.assertFalse(has_input(high))
+            far.send(b"x")
+            self.assertTrue(has_input(high))
+
     async def test_closing_ends_a_reply_without_length(self) -> None:
         reply = await self.get_reply(b"HTTP/1.1 200 OK\r\n\r\nall of it")
         self.assertEqual((reply.body, reply.keep_alive), (b"all of it", False))
--- a/auburncart/transport/tests/test_front.py
+++ b/auburncart/transport/tests/test_front.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 import unittest
 
 from auburncart.coordination.forwarding.interfaces import Forwarder
@@ -146,6 +147,21 @@
             await finish
         idle_writer.close()
 
+    async def test_finishing_answers_requests_of_connections_not_yet_accepted(self) -> None:
+        """The kernel has completed the handshakes and received the requests of these callers."""
+        self.echo.is_leaving = True
+        host, port = self.server._address.split(":")
+        callers = [socket.create_connection((host, int(port)), SECONDS) for _ in range(20)]
+        for number, caller in enumerate(callers):
+            caller.sendall(b"GET /a HTTP/1.1\r\n" + HEAD % b"%d" % number + b"\r\n")
+        async with asyncio.timeout(SECONDS):
+            await self.server.finish()
+        await self.server.stop()
+        await asyncio.sleep(0.0)
+        for number, caller in enumerate(callers):
+            with caller:
+                self.assertIn(b"X-Id: %d\r\n" % number, caller.recv(65_536))
+
     async def test_trailers_are_no_headers_of_the_request(self) -> None:
         self.writer.write(
             b"POST /a HTTP/1.1\r\n" + HEAD % b"1" + b"Transfer-Encoding: chunked\r\n\r\n"
