VMs tell the others when they begin or cease to decline questions

Cause: a VM that leaves, or that the store does not answer, declined each question singly; each asker learnt of it by its own next search, whose shards it then asked over new connections, and asked the same VM again a second later. Ruled out: a longer pause after a declined question: at one search in 8 s a VM has no second one in it. Change: the answer to question 0 says whether all questions are declined; it is sent on each change and on a new link. Links to owners are checked each 0.25 s, so that the second owner is linked to at once.

--- a/auburncart/coordination/forwarding/delegation.py
+++ b/auburncart/coordination/forwarding/delegation.py
@@ -28,7 +28,7 @@
 MAX_LINKS_PER_DATA_CENTRE = 3  # one VM may be lost while another is being replaced
 MIN_GROUP_SHARDS = 3  # from which one question costs less than a request for each shard
 ROUND_TRIP_MARGIN_SECONDS = 0.003  # for some iterations of both event loops
-LINK_CHECK_SECONDS = 1.0  # between checks of the links to owners
+LINK_CHECK_SECONDS = 0.25  # between checks of the links to owners
 
 
 class Helper(NamedTuple):
@@ -84,6 +84,8 @@
         self._remote_shards: dict[tuple[str, ...], dict[str, frozenset[str]]] = {}
         self._remote_shards_generation = -1
         self._linked_locations: set[str] = set()
+        self._helper_vms: dict[str, list[EntryVm]] = {}
+        self._helper_vms_basis: tuple[EntryVm, ...] = ()
         self._rotation = 0
 
     async def run(self) -> None:
@@ -246,14 +248,15 @@
 
     def _helper_vms_in(self, location: str) -> list[EntryVm]:
         """Return the VMs of a data centre that this one links to, chosen by rendezvous hashing."""
-        vms = {
-            vm.name: vm
-            for vm in self._roster.members
-            if vm.data_centre == location and vm.merge_address
-        }
-        return [
-            vms[name] for name in rendezvous_select(self._own_name, vms, MAX_LINKS_PER_DATA_CENTRE)
-        ]
+        members = self._roster.members
+        if self._helper_vms_basis is not members:
+            self._helper_vms_basis = members
+            self._helper_vms = {}
+        if location not in self._helper_vms:
+            vms = {vm.name: vm for vm in members if vm.data_centre == location and vm.merge_address}
+            names = rendezvous_select(self._own_name, vms, MAX_LINKS_PER_DATA_CENTRE)
+            self._helper_vms[location] = [vms[name] for name in names]
+        return self._helper_vms[location]
 
     def _remote_shards_of(self, shards: tuple[str, ...]) -> dict[str, frozenset[str]]:
         """Return the nearest data centres with replicas of each remote shard."""
--- a/auburncart/coordination/forwarding/helper_links.py
+++ b/auburncart/coordination/forwarding/helper_links.py
@@ -23,6 +23,11 @@
     def usable(self) -> bool:
         """Whether the VM can be asked now."""
 
+    @property
+    @abstractmethod
+    def declining(self) -> bool:
+        """Whether the VM has said that it declines all questions for now."""
+
     @property
     @abstractmethod
     def round_trip(self) -> float:
@@ -77,9 +82,9 @@
     def ready(self, vm: EntryVm) -> MergeLink | None:
         """Return the link to a VM if it can be asked now."""
         link = self._links.get(vm)
-        if link is None or not link.usable or self._paused_until.get(vm, 0.0) > _now():
+        if link is None or not link.usable or link.declining:
             return None
-        return link
+        return link if self._paused_until.get(vm, 0.0) <= _now() else None
 
     def failing(self, vm: EntryVm) -> bool:
         """Return whether a VM is avoided, or has not been reached for a while."""
--- a/auburncart/coordination/forwarding/merging.py
+++ b/auburncart/coordination/forwarding/merging.py
@@ -66,6 +66,15 @@
         self._request_tracker = request_tracker
         self._store_connected = store_connected
 
+    @property
+    def decline_reason(self) -> str:
+        """Why questions are declined now, an empty string if they are accepted."""
+        if not self._request_tracker.ready:
+            return "this VM is leaving, or not ready yet"
+        if not self._store_connected():
+            return "the store does not answer this VM"
+        return ""
+
     async def answer(
         self, question: MergeQuestion, asker: str, received_at: float
     ) -> AsyncIterator[MergeAnswer]:
@@ -74,7 +83,7 @@
         :param asker: address of the VM that asks.
         :param received_at: loop time in seconds at which the question came in.
         """
-        decline_reason = self._decline_reason()
+        decline_reason = self.decline_reason
         if decline_reason:
             yield Declined(decline_reason)
             return
@@ -105,14 +114,6 @@
             if partials:
                 yield merge_partial_answers(partials, top)
 
-    def _decline_reason(self) -> str:
-        """Return why questions are declined, an empty string if they are accepted."""
-        if not self._request_tracker.ready:
-            return "this VM is leaving, or not ready yet"
-        if not self._store_connected():
-            return "the store does not answer this VM"
-        return ""
-
     def _record(self, search: Search, asker: str, partial: PartialAnswer) -> None:
         request = search.request
         missing = tuple(shard for shard in search.shards if shard not in partial.shards)
--- a/auburncart/coordination/forwarding/tests/test_delegation.py
+++ b/auburncart/coordination/forwarding/tests/test_delegation.py
@@ -47,6 +47,10 @@
     def usable(self) -> bool:
         return True
 
+    @property
+    def declining(self) -> bool:
+        return False
+
     @property
     def round_trip(self) -> float:
         return 2.0 * ONE_WAY_SECONDS
--- a/auburncart/coordination/forwarding/tests/test_shard_owners.py
+++ b/auburncart/coordination/forwarding/tests/test_shard_owners.py
@@ -182,7 +182,9 @@
 
     @virtual_time
     async def test_shards_of_an_owner_that_leaves_are_asked_once(self) -> None:
+        """Their VMs hear of it only by the answer to their question."""
         tier = await self.build()
+        tier.announces = False
         vm = tier.vms["dc3-0"]
         for name in self.first_owners(tier, vm):
             tier.vms[name].request_tracker.leave()
@@ -190,6 +192,22 @@
         self.assertEqual(answer.missing, 0)
         self.assertEqual(len(tier.replicas.arrivals), SHARDS)
 
+    @virtual_time
+    async def test_owners_that_announce_to_leave_are_replaced_before_they_are_asked(self) -> None:
+        """VMs are restarted in turn; a search must not need new connections to all its shards."""
+        tier = await self.build()
+        vm = tier.vms["dc3-0"]
+        leaving = set(self.first_owners(tier, vm))
+        for name in leaving:
+            tier.vms[name].request_tracker.leave()
+        await tier.link()
+        answer = await self.search(vm)
+        self.assertEqual(answer.missing, 0)
+        asked = [name for name, _ in tier.questions]
+        self.assertEqual(set(asked) & leaving, set())
+        self.assertEqual(len(asked), len(vm.owners.groups))
+        self.assertEqual(len(tier.replicas.arrivals), SHARDS)
+
     @virtual_time
     async def test_searches_stay_complete_when_half_of_the_vms_are_killed(self) -> None:
         tier = await self.build()
--- a/auburncart/coordination/forwarding/tests/tier_fixture.py
+++ b/auburncart/coordination/forwarding/tests/tier_fixture.py
@@ -35,7 +35,8 @@
     """Link between two VMs of a tier, without sockets.
 
     The tier's ``closed`` names VMs that cannot be reached, ``silent`` those that lose all that is
-    sent to them, ``slow`` those that accept a question late.
+    sent to them, ``slow`` those that accept a question late; ``announces`` says whether VMs tell
+    the others when they begin to decline questions.
     """
 
     def __init__(self, tier: "Tier", asker: EntryVm, vm: EntryVm) -> None:
@@ -47,6 +48,11 @@
     def usable(self) -> bool:
         return self._vm.name not in self._tier.closed
 
+    @property
+    def declining(self) -> bool:
+        server = self._tier.vms[self._vm.name].server
+        return self._tier.announces and bool(server.decline_reason)
+
     @property
     def round_trip(self) -> float:
         return 2.0 * self._delay
@@ -134,6 +140,7 @@
         self.closed: set[str] = set()
         self.silent: set[str] = set()
         self.slow: set[str] = set()
+        self.announces = True
         self.registrations: list[Registration] = []
         self.roster = SimpleNamespace(members=())
         self.vms: dict[str, TierVm] = {}
--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -58,6 +58,7 @@
 EXIT_FAILED = 1
 REPLY_MEMORY_SHARE = 0.25  # of the process's memory; bodies are copied once to be forwarded
 MERGE_CHECK_INTERVAL_SECONDS = 1.0  # VMs and replicas that start together take seconds to appear
+DECLINE_CHECK_INTERVAL_SECONDS = 0.5  # an outage of the store is noticed only after seconds
 CRASH_WATCH_SECONDS = 25.0  # below the store's limit of 30 s; a late report does little harm
 CLOCK_CHECK_INTERVAL_SECONDS = 0.5  # half of the balancer's probe interval
 MIN_SUSPENSION_SECONDS = 0.5  # no peer gives up its connections after a shorter one
@@ -238,7 +239,12 @@
         # Imported only here, as for the relay.
         from auburncart.transport.merge import MergeListener
 
-        await self._start_listener(MergeListener(self._settings.merge_address, self._merge_server))
+        listener = MergeListener(self._settings.merge_address, self._merge_server)
+        await self._start_listener(listener)
+        self._request_tracker.on_leaving(listener.announce)
+        while True:
+            listener.announce()
+            await asyncio.sleep(DECLINE_CHECK_INTERVAL_SECONDS)
 
     async def _start_listener(self, listener: VmListener) -> None:
         await listener.start()
--- a/auburncart/protocol/merge.py
+++ b/auburncart/protocol/merge.py
@@ -10,6 +10,7 @@
 from auburncart.state.merge import Accepted, Declined, MergeMessage, MergeQuestion
 
 __all__ = [
+    "ALL_QUESTIONS",
     "NumberedAnswer",
     "NumberedQuestion",
     "decode_answer",
@@ -19,6 +20,9 @@
     "encode_question",
 ]
 
+# Number of the answers that say whether a VM declines all questions from now on; earlier versions
+# ignore them, for it is the number of no question.
+ALL_QUESTIONS = 0
 ANSWER_TYPES: dict[str, type] = {
     "accepted": Accepted,
     "declined": Declined,
--- a/auburncart/transport/merge.py
+++ b/auburncart/transport/merge.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from websockets.asyncio.client import ClientConnection, connect
-from websockets.asyncio.server import ServerConnection
+from websockets.asyncio.server import ServerConnection, broadcast
 from websockets.exceptions import ConnectionClosed, WebSocketException
 from websockets.typing import Subprotocol
 
@@ -19,6 +19,7 @@
 from auburncart.coordination.forwarding.merging import MergeServer
 from auburncart.exception import LinkError, LinkTimeoutError, ProtocolError
 from auburncart.protocol.merge import (
+    ALL_QUESTIONS,
     decode_answer,
     decode_question,
     encode_answer,
@@ -27,7 +28,7 @@
 )
 from auburncart.state.entryvm import EntryVm
 from auburncart.state.event import DependencyLost, DependencyRegained
-from auburncart.state.merge import Accepted, Declined, MergeAnswer, MergeQuestion
+from auburncart.state.merge import Accepted, Declined, MergeAnswer, MergeMessage, MergeQuestion
 from auburncart.transport.clock import received_at
 from auburncart.transport.websocket import WebSocketListener
 
@@ -99,6 +100,7 @@
         self._journal = journal
         self._socket: ClientConnection | None = None
         self._silent = False
+        self._declining = False
         self._lost_at: float | None = None
         self._round_trip = 0.0
         self._pending: dict[int, _AnswerQueue] = {}
@@ -111,6 +113,11 @@
         """Whether the link is open and the VM has not fallen silent."""
         return self._socket is not None and not self._silent
 
+    @property
+    def declining(self) -> bool:
+        """Whether the VM has said on this websocket that it declines all questions for now."""
+        return self._declining
+
     @property
     def round_trip(self) -> float:
         """Round-trip time in seconds."""
@@ -175,6 +182,7 @@
                     close_timeout=PONG_TIMEOUT_SECONDS,
                 ) as socket:
                     self._record_regained()
+                    self._declining = False
                     backoff.reset()
                     self._round_trip = await self._measure_round_trip(socket)
                     self._socket, self._silent = socket, False
@@ -197,6 +205,9 @@
         try:
             async for data in socket:
                 question_id, answer = decode_answer(data if isinstance(data, bytes) else b"")
+                if question_id == ALL_QUESTIONS:
+                    self._set_declining(answer)
+                    continue
                 answers = self._pending.get(question_id)
                 # A cancelled question may still be answered.
                 if answers is None:
@@ -209,6 +220,14 @@
             return error.reason
         return "closed by the other side"
 
+    def _set_declining(self, answer: MergeMessage) -> None:
+        """Record whether the VM declines or accepts questions from now on."""
+        self._declining = isinstance(answer, Declined)
+        if isinstance(answer, Declined):
+            self._record_lost(answer.reason)
+        else:
+            self._record_regained()
+
     async def _wait_for_acceptance(
         self, socket: ClientConnection, answers: _AnswerQueue, may_give_up: Callable[[], bool]
     ) -> None:
@@ -309,12 +328,22 @@
     def __init__(self, address: str, server: MergeServer) -> None:
         super().__init__(address, MAX_MESSAGE_BYTES, [SCOPED_MERGE])
         self._server = server
+        self._declining = False
+
+    def announce(self) -> None:
+        """Tell the other VMs if this one has begun or ceased to decline questions."""
+        declining = bool(self._server.decline_reason)
+        if declining != self._declining:
+            self._declining = declining
+            broadcast(self.sockets, self._availability())
 
     async def _serve(self, socket: ServerConnection) -> None:
         """Start a task for each question, and cancel it when the question is cancelled."""
         asker = "{}:{}".format(*socket.remote_address[:2])
         questions: dict[int, asyncio.Task[None]] = {}
         try:
+            if self._declining:
+                await socket.send(self._availability())
             async for data in socket:
                 question_id, question = decode_question(data if isinstance(data, bytes) else b"")
                 if question is None:
@@ -335,6 +364,11 @@
             for task in questions.values():
                 task.cancel()
 
+    def _availability(self) -> bytes:
+        """Return the message that says whether this VM declines all questions."""
+        reason = self._server.decline_reason
+        return encode_answer(ALL_QUESTIONS, Declined(reason) if reason else Accepted())
+
     async def _answer(
         self,
         socket: ServerConnection,
--- a/auburncart/transport/tests/test_merge.py
+++ b/auburncart/transport/tests/test_merge.py
@@ -38,6 +38,7 @@
 
     def __init__(self) -> None:
         self.working = 0
+        self.decline_reason = ""
 
     async def answer(
         self, asked: MergeQuestion, asker: str, received_at: float
@@ -139,6 +140,31 @@
         await self.until_usable()
         self.assertEqual(await self.ask("0"), ANSWERS["0"])
 
+    async def until_declining(self, *, declining: bool) -> None:
+        async with asyncio.timeout(SECONDS):
+            while self.link.declining != declining:
+                await asyncio.sleep(0.01)
+
+    async def test_a_vm_tells_the_others_when_it_declines_questions(self) -> None:
+        task = asyncio.create_task(self.ask("long"))
+        await self.until_working(1)
+        self.server.decline_reason = "leaving"
+        self.listener.announce()
+        await self.until_declining(declining=True)
+        self.assertFalse(task.done())
+        task.cancel()
+        self.server.decline_reason = ""
+        self.listener.announce()
+        await self.until_declining(declining=False)
+        self.assertEqual(await self.ask("0"), ANSWERS["0"])
+
+    async def test_a_vm_that_declines_questions_says_so_on_a_new_link(self) -> None:
+        self.server.decline_reason = "not ready"
+        self.listener.announce()
+        self.link.close()
+        self.link = WebSocketMergeLink(EntryVm("vm", "dc", "", self.proxy.address), self.journal)
+        await self.until_declining(declining=True)
+
     async def test_searches_fail_when_their_link_closes(self) -> None:
         task = asyncio.create_task(self.ask("long"))
         await self.until_working(1)
--- a/auburncart/transport/websocket.py
+++ b/auburncart/transport/websocket.py
@@ -28,6 +28,11 @@
         self._subprotocols = subprotocols
         self._listener: Server | None = None
 
+    @property
+    def sockets(self) -> set[ServerConnection]:
+        """The open websockets."""
+        return self._listener.connections if self._listener is not None else set()
+
     async def start(self) -> None:
         """Listen."""
         host, port = split_address(self._address)
