A VM whose share of a replica's connections is below one keeps none

A share below one was raised to one, and each VM kept that connection for 10 s, so that all VMs together went beyond the limit. Ruled out: owners, which keep to 0.6 of the limit; the connections are those of the other VMs. Change: a VM with a share below one opens a connection for a request and closes it after it. Figures: in the test 60 VMs send one order each to a replica with 20 connections; the 21st was answered 502 before, all 60 are answered now.

--- a/auburncart/coordination/forwarding/replica.py
+++ b/auburncart/coordination/forwarding/replica.py
@@ -102,7 +102,9 @@
     :param registration: the replica's entry in the store.
     :param distance: 0 in this data centre, 1 in this region, 2 in another region.
     :param dialer: opens connections.
-    :param max_connections: returns how many connections this VM may hold.
+    :param connection_share: returns this VM's share of the connections that the replica accepts.
+        Below one, a connection is opened for a request and closed after it, since the replica
+        resets the connections beyond its limit.
     """
 
     def __init__(
@@ -110,12 +112,12 @@
         registration: Registration,
         distance: int,
         dialer: ReplicaDialer,
-        max_connections: Callable[[], int],
+        connection_share: Callable[[], float],
     ) -> None:
         self.registration = registration
         self.distance = distance
         self._dialer = dialer
-        self._max_connections = max_connections
+        self._connection_share = connection_share
         self._queue: list[tuple[int, int, Attempt]] = []
         self._idle: list[_Worker] = []
         self._workers: set[_Worker] = set()
@@ -149,6 +151,11 @@
         """Number of connections open or being opened."""
         return len(self._workers)
 
+    @property
+    def max_connections(self) -> int:
+        """Number of connections that may be open, at least one."""
+        return max(1, int(self._connection_share()))
+
     @property
     def latency(self) -> float:
         """Moving average of the latency of requests in seconds, 0 before the first."""
@@ -266,9 +273,9 @@
             if worker.can_carry(attempt):
                 worker.wake()
                 return
-        if self._idle and len(self._workers) >= self._max_connections():
+        if self._idle and len(self._workers) >= self.max_connections:
             self._idle[0].stop()
-        if len(self._workers) < self._max_connections():
+        if len(self._workers) < self.max_connections:
             self._workers.add(_Worker(self, self._dialer))
 
     def next_attempt(self, worker: "_Worker") -> Attempt | None:
@@ -288,9 +295,10 @@
 
     def add_idle(self, worker: "_Worker") -> bool:
         """Keep a connection as idle; False if it must be closed instead."""
-        if self._retired or len(self._workers) > self._max_connections():
+        share = self._connection_share()
+        if self._retired or share < 1.0 or len(self._workers) > self.max_connections:
             return False
-        if self._queue and len(self._workers) >= self._max_connections():
+        if self._queue and len(self._workers) >= self.max_connections:
             return False  # the next attempt needs another connection
         self._idle.append(worker)
         return True
--- a/auburncart/coordination/forwarding/replica_registry.py
+++ b/auburncart/coordination/forwarding/replica_registry.py
@@ -22,8 +22,8 @@
     :param distance: returns the distance of a data centre: 0 for this VM's own, 1 in the same
         region, 2 in another region.
     :param dialer: opens connections to replicas.
-    :param max_connections: returns how many connections this VM may hold to a replica of a
-        service in a data centre.
+    :param connection_share: returns this VM's share of the connections that a replica of a service
+        in a data centre accepts.
     :param journal: records every change.
     """
 
@@ -31,12 +31,12 @@
         self,
         distance: Callable[[str], int],
         dialer: ReplicaDialer,
-        max_connections: Callable[[str, str], int],
+        connection_share: Callable[[str, str], float],
         journal: Journal,
     ) -> None:
         self._distance = distance
         self._dialer = dialer
-        self._max_connections = max_connections
+        self._connection_share = connection_share
         self._journal = journal
         self._pools: dict[str, ReplicaConnectionPool] = {}
         self._services: dict[str, list[ReplicaConnectionPool]] = {}
@@ -91,7 +91,7 @@
             entry,
             self._distance(entry.data_centre),
             self._dialer,
-            lambda: self._max_connections(entry.service, entry.data_centre),
+            lambda: self._connection_share(entry.service, entry.data_centre),
         )
         self._pools[entry.instance] = pool
         self._services.setdefault(entry.service, []).append(pool)
--- a/auburncart/coordination/forwarding/share.py
+++ b/auburncart/coordination/forwarding/share.py
@@ -69,8 +69,8 @@
             included=self._region_of(self._own.data_centre) in replica_regions,
         )
 
-    def connections(self, service: str, data_centre: str, limit: int) -> int:
-        """Return the number of connections that this VM may hold to a replica.
+    def connections(self, service: str, data_centre: str, limit: int) -> float:
+        """Return this VM's share of the connections to a replica, below one in a large tier.
 
         :param data_centre: that of the replica.
         :param limit: connections that the replica accepts from all VMs together.
@@ -79,7 +79,7 @@
         owners = self._owners.owners_of(service)
         if owners:
             share = share_of(vms, len(owners), OWNER_CONNECTIONS, included=self._own.name in owners)
-            return max(1, int(limit * share))
+            return limit * share
         region = self._region_of(data_centre)
         nearby = region == self._region_of(self._own.data_centre)
         return connection_share(limit, vms, self._count_vms({region}), nearby=nearby)
@@ -98,21 +98,20 @@
         return sum(self._region_counts.get(region, 0) for region in regions)
 
 
-def connection_share(limit: int, vm_count: int, nearby_count: int, *, nearby: bool) -> int:
-    """Return the number of connections that one VM may hold to a replica, at least one.
+def connection_share(limit: int, vm_count: int, nearby_count: int, *, nearby: bool) -> float:
+    """Return one VM's share of the connections to a replica.
 
     :param limit: connections that the replica accepts from all VMs together.
     :param vm_count: number of VMs.
     :param nearby_count: number of VMs in the replica's region.
     :param nearby: whether this VM is one of those.
 
-    >>> connection_share(26, 8, 3, nearby=True), connection_share(26, 8, 3, nearby=False)
-    (5, 2)
+    >>> round(connection_share(26, 8, 3, nearby=True), 2)
+    5.2
     >>> connection_share(26, 8, 0, nearby=False)
-    3
+    3.25
     """
-    share = share_of(vm_count, nearby_count, NEARBY_CONNECTIONS, included=nearby)
-    return max(1, int(limit * share))
+    return limit * share_of(vm_count, nearby_count, NEARBY_CONNECTIONS, included=nearby)
 
 
 def share_of(vm_count: int, favoured_count: int, favoured_share: float, *, included: bool) -> float:
--- a/auburncart/coordination/forwarding/tests/gateway_fixture.py
+++ b/auburncart/coordination/forwarding/tests/gateway_fixture.py
@@ -65,7 +65,7 @@
     def __init__(
         self,
         route: Route,
-        connections: int = 4,
+        connections: float = 4.0,
         store: KindStore | None = None,
         *,
         distance: int = 0,
--- a/auburncart/coordination/forwarding/tests/test_gateway.py
+++ b/auburncart/coordination/forwarding/tests/test_gateway.py
@@ -8,7 +8,13 @@
     request,
     search,
 )
-from auburncart.standins.replicas import ReplicaModel, misdirected_reply, ok_reply, shed_reply
+from auburncart.standins.replicas import (
+    FakeReplicaDialer,
+    ReplicaModel,
+    misdirected_reply,
+    ok_reply,
+    shed_reply,
+)
 from auburncart.state.event import ReplicasChanged
 from auburncart.state.failure import Ran, Refusal, RefusalCode
 from auburncart.state.forward import ForwardedReply, ForwardRequest, MergedAnswer, Reply
@@ -148,6 +154,17 @@
         self.assertEqual((answer.code, answer.ran), (RefusalCode.UNAVAILABLE, Ran.NO))
         self.assertEqual(asyncio.get_running_loop().time(), started_at)
 
+    @virtual_time
+    async def test_vms_whose_share_is_below_one_connection_keep_none(self) -> None:
+        """60 VMs send orders to a replica that accepts 20 connections from all of them."""
+        replicas = FakeReplicaDialer()
+        for number in range(60):
+            route = one_service(idempotent=False, attempts=1)
+            vm = GatewayFixture(route, 20 / 60, replicas=replicas)
+            vm.add("s", 0).max_connections = 20
+            self.assertIsInstance(await vm.gateway.answer(request(number)), ForwardedReply)
+        self.assertEqual(replicas.models["s/0"].connections, 0)
+
     @virtual_time
     async def test_a_success_without_a_stamp_is_not_forwarded(self) -> None:
         fixture = GatewayFixture(one_service(idempotent=False))
--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -347,11 +347,11 @@
         table = self._configuration.table
         return table.shards if table else frozenset()
 
-    def _connection_share(self, service: str, data_centre: str) -> int:
+    def _connection_share(self, service: str, data_centre: str) -> float:
         table = self._configuration.table
         limits = table.configuration.services.get(service) if table else None
         if limits is None:
-            return 1
+            return 1.0
         return self._shares.connections(service, data_centre, limits.max_connections)
 
 
--- a/auburncart/standins/replicas.py
+++ b/auburncart/standins/replicas.py
@@ -33,7 +33,8 @@
 class ReplicaModel:
     """Behaviour of one replica: how long it takes and what it replies.
 
-    ``in_flight`` counts the requests that it executes now, ``executed`` those it has executed.
+    ``in_flight`` counts the requests that it executes now, ``executed`` those it has executed,
+    ``connections`` the open connections; it resets those beyond ``max_connections``.
 
     :param service_seconds: time of one request.
     :param reply: returns the reply to a request, or None to reset the connection instead.
@@ -47,6 +48,8 @@
         self.service_seconds = service_seconds
         self.reply = reply or ok_reply
         self.reachable = True
+        self.max_connections = 1000
+        self.connections = 0
         self.in_flight = 0
         self.executed = 0
 
@@ -88,6 +91,8 @@
         self._closed = asyncio.Event()
         self._in_use = False
         self._request_ids: set[str] = set()
+        model.connections += 1
+        self._is_reset = model.connections > model.max_connections
 
     @property
     def usable(self) -> bool:
@@ -102,6 +107,9 @@
     async def exchange(self, request: ForwardRequest, instance: str) -> Reply:
         """Execute a request for the replica's service time; closing the connection aborts it."""
         now = asyncio.get_running_loop().time()
+        if self._is_reset:
+            self.close()
+            raise UpstreamError("reset", step="reply", peer=self._registration.address)
         self._replicas.arrivals.append(Arrival(now, instance, request))
         self._replicas.resent_on_connection += request.request_id in self._request_ids
         self._request_ids.add(request.request_id)
@@ -125,6 +133,8 @@
 
     def close(self) -> None:
         """Close the connection."""
+        if not self._closed.is_set():
+            self._model.connections -= 1
         self._closed.set()
 
 
