--- a/auburncart/coordination/forwarding/attempts.py
+++ b/auburncart/coordination/forwarding/attempts.py
@@ -1,6 +1,7 @@
 """The attempts of one request at the replicas of one service: first, hedged and retried."""
 
 import asyncio
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from auburncart.coordination.forwarding.budget import RetryBudget
@@ -24,6 +25,9 @@
 ]
 
 HEDGE_DELAY_SHARE = 0.45  # of the latency target; leaves the second replica as much time
+# A hedge is sent earlier if the other replica would reply too late, but not before the first one
+# has taken some times longer than expected, and not from the reserve of the budget.
+MIN_HEDGE_LATENCIES = 2.5
 MAX_UNSENT_ATTEMPTS = 4  # attempts that reached no replica, after which no more are made
 NO_REPLICA = Failure(Step.ROUTE, "", "no replica may be asked", FailureCode.UNREACHABLE, False)
 SERVER_ERRORS = range(500, 600)
@@ -38,6 +42,7 @@
     :param max_attempts: maximum number of replicas to which it is sent.
     :param hedge_delay: seconds after which a second replica is asked.
     :param until: loop time in seconds at which to give up.
+    :param reply_by: loop time in seconds until which a reply is of use to a merged answer.
     """
 
     service: str
@@ -46,6 +51,7 @@
     max_attempts: int
     hedge_delay: float
     until: float
+    reply_by: float = float("inf")
 
 
 class Outcome(NamedTuple):
@@ -96,6 +102,7 @@
         self._last_reply: Reply | None = None
         self._last_failure: Failure = NO_REPLICA
         self._hedge_at = float("inf")
+        self._regular_hedge_at = float("inf")
 
     async def run(self) -> Outcome:
         """Return the first good reply, or why there is none."""
@@ -132,34 +139,47 @@
             resent=pool in self._tried,
             on_finish=self._mailbox.post,
         )
+        expected = self._context.selection.expected_reply_time(pool)
         self._tried.append(pool)
         self._attempts += 1
         attempt.reason = reason
         self._pending.append(attempt)
         pool.submit(attempt)
-        may_hedge = self._policy.idempotent and self._attempts_left()
-        now = asyncio.get_running_loop().time()
-        self._hedge_at = now + self._policy.hedge_delay if may_hedge else float("inf")
+        self._hedge_at = self._regular_hedge_at = float("inf")
+        if self._policy.idempotent and self._attempts_left():
+            self._schedule_hedge(expected, candidates)
         return True
 
+    def _schedule_hedge(self, expected: float, candidates: Sequence[ReplicaConnectionPool]) -> None:
+        """Set the time at which to ask another replica.
+
+        :param expected: seconds after which the replica just asked was expected to reply.
+        """
+        now = asyncio.get_running_loop().time()
+        self._hedge_at = self._regular_hedge_at = now + self._policy.hedge_delay
+        other = self._context.selection.pick(candidates, self._tried)
+        if other is not None:
+            last = self._policy.reply_by - self._context.selection.expected_reply_time(other)
+            earliest = now + MIN_HEDGE_LATENCIES * expected
+            self._hedge_at = min(self._regular_hedge_at, max(last, earliest))
+
     def _attempts_left(self) -> bool:
         return self._attempts < self._policy.max_attempts
 
     def _hedge(self) -> None:
+        budget, service = self._context.budget, self._policy.service
+        early = self._hedge_at < self._regular_hedge_at
+        if early and budget.remaining(service) < 1.0 + budget.reserve(service):
+            self._hedge_at = self._regular_hedge_at
+            return
         self._hedge_at = float("inf")
         first = self._pending[0]
         address = first.pool.registration.address if first.pool else ""
-        allowed = self._context.budget.spend(self._policy.service)
-        started = allowed and self._start("hedge")
+        delay = asyncio.get_running_loop().time() - first.queued_at
+        started = budget.spend(service) and self._start("hedge")
+        remaining = budget.remaining(service)
         self._context.journal.record(
-            Hedged(
-                self._request.request_id,
-                self._policy.service,
-                address,
-                self._policy.hedge_delay,
-                self._context.budget.remaining(self._policy.service),
-                started,
-            )
+            Hedged(self._request.request_id, service, address, delay, remaining, started)
         )
 
     def _handle_result(self, result: AttemptResult) -> Reply | None:
--- a/auburncart/coordination/forwarding/budget.py
+++ b/auburncart/coordination/forwarding/budget.py
@@ -8,6 +8,7 @@
 __all__ = ["BudgetBounds", "RetryBudget"]
 
 BUCKETS = 10  # in a window: requests are counted to a tenth of it
+RESERVED_SHARE = 0.5  # of the slack, for requests that cannot do without an extra one
 USED_SHARE = 0.85  # of the bounds: the windows of different VMs are offset by up to a bucket
 
 
@@ -59,12 +60,13 @@
         extras = sum(bucket.extras for bucket in buckets)
         return USED_SHARE * (self._bounds.ratio * requests + self._slack(service)) - extras
 
-    def spend(self, service: str, *, reserve: float = 0.0) -> bool:
-        """Count an extra request if the budget allows it.
+    def reserve(self, service: str) -> float:
+        """Return the number of extra requests to leave for those that need them most."""
+        return RESERVED_SHARE * USED_SHARE * self._slack(service)
 
-        :param reserve: extra requests that must remain afterwards.
-        """
-        if self.remaining(service) < 1.0 + reserve:
+    def spend(self, service: str) -> bool:
+        """Count an extra request if the budget allows it."""
+        if self.remaining(service) < 1.0:
             return False
         self._count(service, 0, 1)
         return True
--- a/auburncart/coordination/forwarding/fanout.py
+++ b/auburncart/coordination/forwarding/fanout.py
@@ -124,7 +124,13 @@
         search = self._search
         max_attempts = search.max_attempts - 1 if is_retry else search.max_attempts
         policy = AttemptPolicy(
-            shard, search.priority, True, max_attempts, search.hedge_delay, search.until
+            shard,
+            search.priority,
+            True,
+            max_attempts,
+            search.hedge_delay,
+            search.until,
+            search.deliver_at,
         )
         outcome = await Attempts(search.request, policy, self._context).run()
         self._mailbox.post(_partial_answer_of(shard, outcome, search.top_records))
