A link with a question in flight is not closed

Cause: links to VMs that are no longer needed were closed at once: when the first owner of some shards was back, or a VM took itself off the list, the second owner's running work ended, and its shards were asked again from here or given up. Change: such a link takes no new questions and is closed once it has none in flight.

--- a/auburncart/coordination/forwarding/helper_links.py
+++ b/auburncart/coordination/forwarding/helper_links.py
@@ -64,16 +64,24 @@
     def __init__(self, open_link: Callable[[EntryVm], MergeLink]) -> None:
         self._open_link = open_link
         self._links: dict[EntryVm, MergeLink] = {}
+        self._kept: Set[EntryVm] = frozenset()
         self._unusable_since: dict[EntryVm, float] = {}
         self._paused_until: dict[EntryVm, float] = {}
         self._silence_pauses: dict[EntryVm, float] = {}
 
     def keep(self, vms: Set[EntryVm]) -> None:
-        """Open links to new VMs, and close those to all others."""
+        """Open links to new VMs, and close those to all others.
+
+        A link with a question in flight is closed by a later call: closing it would end the work
+        of the VM, which would be started again elsewhere.
+        """
         for vm in sorted(vms - self._links.keys()):
             self._links[vm] = self._open_link(vm)
             self._unusable_since[vm] = _now()
+        self._kept = vms
         for vm in self._links.keys() - vms:
+            if self._links[vm].outstanding:
+                continue
             self._links.pop(vm).close()
             self._unusable_since.pop(vm, None)
             self._paused_until.pop(vm, None)
@@ -81,7 +89,7 @@
 
     def ready(self, vm: EntryVm) -> MergeLink | None:
         """Return the link to a VM if it can be asked now."""
-        link = self._links.get(vm)
+        link = self._links.get(vm) if vm in self._kept else None
         if link is None or not link.usable or link.declining:
             return None
         return link if self._paused_until.get(vm, 0.0) <= _now() else None
