A VM that is silent during a question is given up only within the retry budget

Cause: a VM that had accepted a question and gave no sign of life for 0.1 s at its time of delivery lost its link, and with it every question in flight there: their shards were asked again, or given up where no budget was left. A VM that is paused for 0.3 s, or whose link is, does so. Ruled out: the time before a question is accepted, where this held already.

--- a/auburncart/transport/merge.py
+++ b/auburncart/transport/merge.py
@@ -144,7 +144,7 @@
             if scoped:
                 await self._wait_for_acceptance(socket, answers, may_give_up)
             if not await answers.wait(ping_after):
-                await self._check_alive(socket, answers)
+                await self._check_alive(socket, answers, may_give_up)
             while remaining:
                 answer = await answers.next()
                 if isinstance(answer, Declined):
@@ -269,19 +269,21 @@
             self._silent = False
             self._record_regained()
 
-    async def _check_alive(self, socket: ClientConnection, answers: _AnswerQueue) -> None:
-        """Wait for a pong or an answer, and close the link if neither arrives.
+    async def _check_alive(
+        self, socket: ClientConnection, answers: _AnswerQueue, may_give_up: Callable[[], bool]
+    ) -> None:
+        """Wait for a pong or an answer.
 
-        :raises LinkTimeoutError: the VM does not respond.
+        :raises LinkTimeoutError: neither arrives, and the VM may be given up.
         """
         pong = asyncio.ensure_future(await socket.ping())
         pong.add_done_callback(lambda done: answers.wake())
         if await answers.wait(PONG_TIMEOUT_SECONDS):
             return
-        self._socket = None
-        socket.transport.abort()
         reason = f"no pong or answer for {PONG_TIMEOUT_SECONDS} s"
-        raise LinkTimeoutError(reason, step="reply", peer=self._vm.merge_address)
+        self._check_silent(socket, reason)
+        if may_give_up():
+            raise LinkTimeoutError(reason, step="reply", peer=self._vm.merge_address)
 
     def _cancel_question(self, socket: ClientConnection, question_id: int) -> None:
         async def send() -> None:
--- a/auburncart/transport/tests/test_merge.py
+++ b/auburncart/transport/tests/test_merge.py
@@ -15,6 +15,7 @@
 from auburncart.transport.merge import MergeListener, WebSocketMergeLink
 
 SECONDS = 5.0
+LATE_SECONDS = 0.2  # after which the answers to a question "late" are sent
 SHARDS = ("a", "b", "c", "d")
 LOST = Failure(Step.REPLY, "10.0.0.9:1", "lost", FailureCode.LOST, True)
 FIRST = PartialAnswer(("a", "b"), b"x" * 32, (b"one", b"two"), {"c": LOST})
@@ -43,6 +44,11 @@
     async def answer(
         self, asked: MergeQuestion, asker: str, received_at: float
     ) -> AsyncIterator[MergeAnswer]:
+        if asked.request_id == "late":
+            await asyncio.sleep(LATE_SECONDS)
+            for answer in ANSWERS["0"]:
+                yield answer
+            return
         for answer in ANSWERS.get(asked.request_id, ()):
             yield answer
         if asked.request_id in ANSWERS:
@@ -133,6 +139,22 @@
         self.assertEqual(await task, ANSWERS["0"])
         await self.until_usable()
 
+    async def test_a_vm_that_is_silent_during_a_question_is_waited_for(self) -> None:
+        """Without retry budget its work must not be given up."""
+        for may_give_up in (False, True):
+            with self.subTest(may_give_up=may_give_up):
+                await self.until_usable()
+                task = asyncio.create_task(self.ask("late", 0.05, may_give_up=may_give_up))
+                await asyncio.sleep(0.04)
+                self.proxy.block("forward", "backward")
+                await asyncio.sleep(0.4)
+                self.assertEqual(task.done(), may_give_up)
+                self.proxy.heal()
+                if may_give_up:
+                    self.assertRaises(LinkTimeoutError, task.result)
+                else:
+                    self.assertEqual(await task, ANSWERS["0"])
+
     async def test_a_vm_of_an_earlier_version_is_asked_without_acceptance(self) -> None:
         self.link.close()
         self.listener._subprotocols = ()
