--- a/auburncart/coordination/forwarding/attempts.py
+++ b/auburncart/coordination/forwarding/attempts.py
@@ -158,7 +158,9 @@
         now = asyncio.get_running_loop().time()
         self._hedge_at = self._regular_hedge_at = now + self._policy.hedge_delay
         other = self._context.selection.pick(candidates, self._tried)
-        if other is not None:
+        # A VM that asks again for a lost helper must know when that may have hedged, unless there
+        # are no more replicas than may be asked.
+        if other is not None and len(candidates) <= self._policy.max_attempts:
             last = self._policy.reply_by - self._context.selection.expected_reply_time(other)
             earliest = now + MIN_HEDGE_LATENCIES * expected
             self._hedge_at = min(self._regular_hedge_at, max(last, earliest))
--- a/auburncart/coordination/forwarding/fanout.py
+++ b/auburncart/coordination/forwarding/fanout.py
@@ -22,7 +22,6 @@
 
 RECORD_BYTES = 16  # size of a record; a shorter remainder of a body is ignored
 LONG_PART_BYTES = 4096  # of a longer part, only its greatest records are kept until the merge
-HEDGE_MARGIN_SECONDS = 0.02  # a helper lost this soon after the hedge delay has not hedged
 NO_REPLY_IN_TIME = Failure(Step.REPLY, "", "no reply in time", FailureCode.TIMED_OUT, True)
 NO_STAMP = Failure(Step.MATCH, "", "the part has no stamp of its own", FailureCode.MISMATCH, True)
 NO_BUDGET = Failure(Step.ROUTE, "", "the retry budget is spent", FailureCode.LOST, True)
@@ -154,19 +153,37 @@
                 if not remaining:
                     return
         except LinkError as error:
-            is_retry = error.step != "connect"
             elapsed = asyncio.get_running_loop().time() - started_at
-            timed_out = isinstance(error, LinkTimeoutError)
-            may_have_hedged = not timed_out and elapsed > search.hedge_delay + HEDGE_MARGIN_SECONDS
-            if is_retry and (may_have_hedged or search.max_attempts < 2):
-                # The helper may have made all attempts that the route allows.
+            # The helper's own delay is shorter by the round trip.
+            may_have_hedged = elapsed > search.hedge_delay - group.round_trip
+            asked = {
+                shard for shard in remaining if self._may_ask_again(shard, error, may_have_hedged)
+            }
+            given_up = remaining - asked
+            if given_up:
                 failure = Failure(Step.REPLY, error.peer, error.reason, FailureCode.LOST, True)
-                self._mailbox.post(PartialAnswer((), b"", (), dict.fromkeys(remaining, failure)))
-                return
+                self._mailbox.post(PartialAnswer((), b"", (), dict.fromkeys(given_up, failure)))
+            is_retry = error.step != "connect"
             await asyncio.gather(
-                *(self._ask_replicas(shard, is_retry=is_retry) for shard in sorted(remaining))
+                *(self._ask_replicas(shard, is_retry=is_retry) for shard in sorted(asked))
             )
 
+    def _may_ask_again(self, shard: str, error: LinkError, may_have_hedged: bool) -> bool:
+        """Return whether the route allows one more attempt at a shard of a helper that is lost.
+
+        :param may_have_hedged: whether so much time has passed that the helper may have hedged.
+        """
+        max_attempts = self._search.max_attempts
+        if error.step == "connect":
+            return True
+        if max_attempts < 2:
+            return False
+        if error.step == "accept" or not may_have_hedged:
+            return True
+        # The helper may have made two attempts; a third must not reach a third replica.
+        replicas = len(self._context.registry.candidates(shard))
+        return isinstance(error, LinkTimeoutError) and replicas <= max_attempts
+
 
 def _partial_answer_of(shard: str, outcome: Outcome, top: int) -> PartialAnswer:
     reply = outcome.reply
--- a/auburncart/coordination/forwarding/tests/test_delegation.py
+++ b/auburncart/coordination/forwarding/tests/test_delegation.py
@@ -154,10 +154,16 @@
                 self.assertEqual([event.sent for event in failed], [False])
 
     async def answer_with_lost_helper(
-        self, error: LinkError, after: float, attempts: int = 2
+        self, error: LinkError, after: float, attempts: int = 2, replicas: int = 1
     ) -> MergedAnswer | Refusal:
-        """Answer a search whose helper is lost after some seconds."""
+        """Answer a search whose helper is lost after some seconds.
+
+        :param replicas: number of replicas of each shard.
+        """
         self.build(attempts)
+        for number in range(SHARDS):
+            for replica in range(2, replicas + 1):
+                self.asker.add(f"s{number}", replica)
         await asyncio.sleep(10.0)
         self.link.error, self.link.fail_after = error, after
         answer = await self.asker.gateway.answer(request())
@@ -204,6 +210,22 @@
         )
         self.assertIsInstance(answer, MergedAnswer)
 
+    @virtual_time
+    async def test_an_unresponsive_helper_does_not_lead_to_a_third_replica(self) -> None:
+        """It may have hedged, so that two of three replicas may have the search."""
+        answer = await self.answer_with_lost_helper(
+            LinkTimeoutError("still", step="reply", peer="p"), 0.15, replicas=3
+        )
+        self.assertIsInstance(answer, Refusal)
+        self.assertEqual(self.replicas_asked(self.asker), 0)
+
+    @virtual_time
+    async def test_a_helper_that_has_not_accepted_in_time_is_replaced(self) -> None:
+        answer = await self.answer_with_lost_helper(
+            LinkTimeoutError("not accepted", step="accept", peer="p"), 0.08, replicas=3
+        )
+        self.assertIsInstance(answer, MergedAnswer)
+
     @virtual_time
     async def test_late_parts_follow_the_first_partial_answer(self) -> None:
         self.build()
--- a/auburncart/coordination/forwarding/tests/tier_fixture.py
+++ b/auburncart/coordination/forwarding/tests/tier_fixture.py
@@ -67,11 +67,11 @@
         self._tier.questions.append((self._vm.name, question))
         if self._vm.name in self._tier.silent:
             await asyncio.sleep(ACCEPTANCE_SECONDS)
-            raise LinkTimeoutError("not accepted", step="reply", peer=self._vm.merge_address)
+            raise LinkTimeoutError("not accepted", step="accept", peer=self._vm.merge_address)
         if self._vm.name in self._tier.slow:
             await asyncio.sleep(ACCEPTANCE_SECONDS)
             if may_give_up():
-                raise LinkTimeoutError("not accepted", step="reply", peer=self._vm.merge_address)
+                raise LinkTimeoutError("not accepted", step="accept", peer=self._vm.merge_address)
             await asyncio.sleep(SLOW_SECONDS - ACCEPTANCE_SECONDS)
         await asyncio.sleep(self._delay)
         server = self._tier.vms[self._vm.name].server
--- a/auburncart/exception.py
+++ b/auburncart/exception.py
@@ -92,7 +92,11 @@
 
 
 class LinkError(AuburncartError):
-    """A link to another entry VM failed or was refused."""
+    """A link to another entry VM failed or was refused.
+
+    Its step is ``connect`` if nothing was sent, ``accept`` if the other side has not confirmed what
+    it received, else ``reply``.
+    """
 
 
 class LinkTimeoutError(LinkError):
--- a/auburncart/transport/merge.py
+++ b/auburncart/transport/merge.py
@@ -245,7 +245,7 @@
             reason = f"not accepted within {timeout:.3f} s"
             self._check_silent(socket, reason)
             if may_give_up():
-                raise LinkTimeoutError(reason, step="reply", peer=self._vm.merge_address) from None
+                raise LinkTimeoutError(reason, step="accept", peer=self._vm.merge_address) from None
             await answers.accepted.wait()
         sample = loop.time() - sent_at
         weight = ROUND_TRIP_SAMPLE_WEIGHT if sample > self._round_trip else 1.0
