--- /dev/null
+++ b/auburncart/coordination/forwarding/tests/test_crashing_requests.py
@@ -0,0 +1,164 @@
+"""Requests that crash every replica that begins to run them, repeated by their caller."""
+
+import asyncio
+import random
+import unittest
+
+from auburncart.coordination.forwarding.kinds import KindWatcher
+from auburncart.coordination.forwarding.quarantine import CRASHES
+from auburncart.coordination.forwarding.tests.gateway_fixture import (
+    GatewayFixture,
+    one_service,
+    request,
+    search,
+)
+from auburncart.coordination.forwarding.tests.test_quarantine import (
+    DOWN_SECONDS,
+    CrashStore,
+    crash_on_bad_path,
+    crashing_request,
+)
+from auburncart.standins.replicas import Arrival, FakeReplicaDialer, ReplicaModel
+from auburncart.state.configuration import Route
+from auburncart.state.failure import Ran, Refusal
+from auburncart.state.forward import ForwardRequest, MergedAnswer, Reply
+from auburncart.tests.virtual import virtual_time
+
+SETTLING_SECONDS = 5.0  # after the third crash, until arrivals count
+MAX_LATE_ARRIVALS = 3
+REPEATS = 10
+SILENT_SECONDS = 1000.0
+BUDGET_SECONDS = 20.0  # until a new VM has its share of the retry budget
+
+
+def late_arrivals(arrivals: list[Arrival]) -> int:
+    """Return the number of arrivals of crashing requests after the third one has settled."""
+    at = sorted(arrival.at for arrival in arrivals if arrival.request.path == "/a/bad")
+    return sum(when > at[2] + SETTLING_SECONDS for when in at) if len(at) > 2 else 0
+
+
+def crash(model: ReplicaModel) -> None:
+    """Crash a replica, with all its requests in flight; it is back after some seconds."""
+    model.crash()
+    asyncio.get_running_loop().call_later(DOWN_SECONDS, setattr, model, "reachable", True)
+
+
+def fall_silent_on_bad_path(model: ReplicaModel) -> None:
+    """Make a replica that runs a request for path ``/a/bad`` answer nothing more for a while."""
+    default = model.service_time
+
+    def service_time(asked: ForwardRequest) -> float:
+        if asked.path != "/a/bad":
+            return default(asked)
+        model.reachable = False
+        asyncio.get_running_loop().call_later(DOWN_SECONDS, setattr, model, "reachable", True)
+        return SILENT_SECONDS
+
+    model.service_time = service_time
+
+
+class CrashingRequestTest(unittest.TestCase):
+    async def _repeat(self, route: Route, replicas_per_service: int, interval: float) -> int:
+        """Repeat a crashing request at one VM; return the number of late arrivals."""
+        fixture = GatewayFixture(route)
+        for service in [target.service for target in route.targets] + list(route.shards):
+            for number in range(replicas_per_service):
+                fixture.add(service, number, crash_on_bad_path(ReplicaModel()))
+        await asyncio.sleep(BUDGET_SECONDS)
+        for number in range(REPEATS):
+            await fixture.gateway.answer(crashing_request(number))
+            await asyncio.sleep(interval)
+        self.arrivals = len(fixture.replicas.arrivals)
+        return late_arrivals(fixture.replicas.arrivals)
+
+    @virtual_time
+    async def test_each_crash_of_a_retried_request_is_counted(self) -> None:
+        late = await self._repeat(one_service(attempts=3), 4, 5.5)
+        self.assertLessEqual(late, MAX_LATE_ARRIVALS)
+        self.assertLessEqual(self.arrivals, 3)
+
+    @virtual_time
+    async def test_each_crash_of_a_search_is_counted(self) -> None:
+        for interval in (5.5, 2.1):
+            with self.subTest(interval=interval):
+                late = await self._repeat(search(20), 2, interval)
+                self.assertLessEqual(late, MAX_LATE_ARRIVALS)
+
+    @virtual_time
+    async def test_a_search_that_crashes_replicas_is_not_retried_on_the_others(self) -> None:
+        await self._repeat(search(20), 2, 5.5)
+        self.assertLessEqual(self.arrivals, 20)
+
+    @virtual_time
+    async def test_a_quarantine_that_ends_does_not_begin_anew_with_all_shards(self) -> None:
+        fixture = GatewayFixture(search(20))
+        for shard in search(20).shards:
+            for number in range(2):
+                fixture.add(shard, number, crash_on_bad_path(ReplicaModel()))
+        await asyncio.sleep(BUDGET_SECONDS)
+        for number in range(60):
+            await fixture.gateway.answer(crashing_request(number))
+            await asyncio.sleep(5.5)
+        self.assertLessEqual(late_arrivals(fixture.replicas.arrivals), MAX_LATE_ARRIVALS)
+
+    @virtual_time
+    async def test_crashes_of_retried_requests_are_counted_by_all_vms(self) -> None:
+        store, replicas = CrashStore(), FakeReplicaDialer()
+        route = search(20)
+        fixtures = [GatewayFixture(route, store=store, replicas=replicas) for _ in range(4)]
+        tasks = []
+        for vm, fixture in enumerate(fixtures):
+            watcher = KindWatcher(
+                store, CRASHES, fixture.quarantine, fixture.journal, random.Random(vm)
+            )
+            tasks.append(asyncio.create_task(watcher.run()))
+            for shard in route.shards:
+                for number in range(2):
+                    fixture.add(shard, number, crash_on_bad_path(ReplicaModel()))
+        await asyncio.sleep(BUDGET_SECONDS)
+        for number in range(12):
+            await fixtures[number % 4].gateway.answer(crashing_request(number))
+            await asyncio.sleep(2.1)
+        self.assertEqual(late_arrivals(replicas.arrivals), 0)
+
+    @virtual_time
+    async def test_a_replica_that_falls_silent_is_counted(self) -> None:
+        fixture = GatewayFixture(one_service(attempts=2))
+        models = [fixture.add("s", number) for number in range(3)]
+        for model in models:
+            fall_silent_on_bad_path(model)
+        await asyncio.sleep(BUDGET_SECONDS)
+        for number in range(REPEATS):
+            await fixture.gateway.answer(crashing_request(number))
+            await asyncio.sleep(5.5)
+        self.assertLessEqual(late_arrivals(fixture.replicas.arrivals), MAX_LATE_ARRIVALS)
+
+    @virtual_time
+    async def test_a_search_during_a_crash_of_many_replicas_is_not_quarantined(self) -> None:
+        fixture = GatewayFixture(search(20, min_share=0.5))
+        models = []
+        for shard in search(20).shards:
+            part = Reply(200, b"OK", (), b"r" * 16, shard.encode())
+            for number in range(2):
+                model = ReplicaModel(reply=lambda asked, part=part: part)
+                models.append(fixture.add(shard, number, model))
+        asked = [
+            asyncio.create_task(fixture.gateway.answer(request(number))) for number in range(2)
+        ]
+        await asyncio.sleep(0.005)
+        for model in models[: len(models) // 2]:
+            crash(model)
+        await asyncio.gather(*asked)
+        await asyncio.sleep(4.0)
+        self.assertIsInstance(await fixture.gateway.answer(request(9)), MergedAnswer)
+
+    @virtual_time
+    async def test_a_quarantined_request_is_refused_as_not_run(self) -> None:
+        fixture = GatewayFixture(search(20))
+        for shard in search(20).shards:
+            fixture.add(shard, 1, crash_on_bad_path(ReplicaModel()))
+        await fixture.gateway.answer(crashing_request(1))
+        answer = await fixture.gateway.answer(crashing_request(2))
+        assert isinstance(answer, Refusal)
+        self.assertIs(answer.ran, Ran.NO)
+        self.assertGreater(answer.retry_after, 0.0)
--- a/auburncart/standins/replicas.py
+++ b/auburncart/standins/replicas.py
@@ -52,6 +52,17 @@
         self.connections = 0
         self.in_flight = 0
         self.executed = 0
+        self.crashed = asyncio.Event()
+
+    def service_time(self, request: ForwardRequest) -> float:
+        """Return the seconds that a request takes."""
+        return self.service_seconds
+
+    def crash(self) -> None:
+        """Lose all connections and accept no more."""
+        self.reachable = False
+        self.crashed.set()
+        self.crashed = asyncio.Event()
 
 
 class FakeReplicaDialer(ReplicaDialer):
@@ -115,14 +126,16 @@
         self._request_ids.add(request.request_id)
         self._in_use = True
         self._model.in_flight += 1
+        ended = [asyncio.create_task(event.wait()) for event in (self._closed, self._model.crashed)]
         try:
-            async with asyncio.timeout(self._model.service_seconds):
-                await self._closed.wait()
-        except TimeoutError:
-            reply = self._model.reply(request)
-        else:
-            reply = None
+            seconds = self._model.service_time(request)
+            interrupted, _ = await asyncio.wait(
+                ended, timeout=seconds, return_when=asyncio.FIRST_COMPLETED
+            )
+            reply = None if interrupted else self._model.reply(request)
         finally:
+            for task in ended:
+                task.cancel()
             self._in_use = False
             self._model.in_flight -= 1
         if reply is None:
