Log replicas that lost a connection and were not counted as crashed

Cause: the log could not tell a crash that was not counted from none, so two of the hypotheses in docs/incidents/crashing-requests.md looked the same.

--- a/auburncart/coordination/forwarding/quarantine.py
+++ b/auburncart/coordination/forwarding/quarantine.py
@@ -13,7 +13,7 @@
 from auburncart.coordination.forwarding.replica import ReplicaConnectionPool
 from auburncart.exception import AuburncartError
 from auburncart.state.crash import CrashReport
-from auburncart.state.event import CrashConfirmed, DependencyLost
+from auburncart.state.event import CrashConfirmed, CrashDismissed, DependencyLost
 from auburncart.state.forward import ForwardRequest
 
 __all__ = ["CRASHES", "MAX_CONFIRMATIONS", "RequestQuarantine"]
@@ -58,6 +58,8 @@
         """Check whether a replica crashed that lost its connection during a request."""
         if len(self._confirming) < MAX_CONFIRMATIONS:
             _start_task(self._confirm(request, pool), self._confirming)
+        else:
+            self._dismiss(request, pool, "too many other replicas are being checked")
 
     def replace(self, entries: tuple[Entry, ...]) -> None:
         """Count all reports in the store."""
@@ -82,6 +84,7 @@
     async def _confirm(self, request: ForwardRequest, pool: ReplicaConnectionPool) -> None:
         await asyncio.sleep(CONFIRMATION_DELAY_SECONDS)
         if await pool.accepts_connections():
+            self._dismiss(request, pool, "it accepts connections")
             return
         digest = digest_of(request)
         name = f"{digest}{SEPARATOR}{xxhash.xxh64_hexdigest(request.request_id.encode())}"
@@ -94,6 +97,11 @@
         if len(self._reporting) < MAX_REPORTS:
             _start_task(self._report(digest, name), self._reporting)
 
+    def _dismiss(self, request: ForwardRequest, pool: ReplicaConnectionPool, reason: str) -> None:
+        replica = pool.registration.address
+        event = CrashDismissed(request.request_id, digest_of(request), replica, reason)
+        self._journal.record(event)
+
     async def _report(self, digest: str, name: str) -> None:
         """Report a crash to the other VMs for as long as the quarantine lasts."""
         until = asyncio.get_running_loop().time() + QUARANTINE_SECONDS
--- a/auburncart/state/event.py
+++ b/auburncart/state/event.py
@@ -9,6 +9,7 @@
     "Answered",
     "ConfigurationInForce",
     "CrashConfirmed",
+    "CrashDismissed",
     "Delegated",
     "DelegationFailed",
     "DependencyLost",
@@ -190,6 +191,15 @@
     crashes: int
 
 
+class CrashDismissed(NamedTuple):
+    """A replica that lost its connection during a request was not counted as crashed."""
+
+    request: str
+    digest: str
+    replica: str
+    reason: str
+
+
 class RosterChanged(NamedTuple):
     """The number of VMs that share the budgets changed."""
 
@@ -265,6 +275,7 @@
     | DependencyLost
     | DependencyRegained
     | CrashConfirmed
+    | CrashDismissed
     | RosterChanged
     | SourceChanged
     | ReadinessChanged
