Count each crash of a replica, and read the count before each attempt

Cause: crashes were counted by the caller's attempt, so retries, hedges and the shards of a search counted as one; and the count was read only when a caller's request came in. The class of fault: a guard that counts something else than what it bounds, read at one of several ways out. Change: CrashHistory decides like a circuit breaker: three crashes refuse the request for 60 s, a trial at one replica ends it, a further crash doubles it. Crashes in an attempt that a replica answered count as one, so that a mass crash quarantines no request. Attempts read it before the first attempt, each retry and each hedge; a retry waits for the check once three losses are open. A request that times out at a replica that accepts no connection counts too. A VM is ready once it has listed the reports.

--- a/auburncart/coordination/forwarding/attempts.py
+++ b/auburncart/coordination/forwarding/attempts.py
@@ -18,6 +18,7 @@
 __all__ = [
     "HEDGE_DELAY_SHARE",
     "NO_REPLICA",
+    "QUARANTINED",
     "AttemptPolicy",
     "Attempts",
     "ForwardingContext",
@@ -30,6 +31,13 @@
 MIN_HEDGE_LATENCIES = 2.5
 MAX_UNSENT_ATTEMPTS = 4  # attempts that reached no replica, after which no more are made
 NO_REPLICA = Failure(Step.ROUTE, "", "no replica may be asked", FailureCode.UNREACHABLE, False)
+QUARANTINED = Failure(
+    Step.ROUTE,
+    "",
+    "replicas crashed each time they ran this request",
+    FailureCode.QUARANTINED,
+    False,
+)
 SERVER_ERRORS = range(500, 600)
 
 
@@ -101,11 +109,17 @@
         self._may_have_run = False
         self._last_reply: Reply | None = None
         self._last_failure: Failure = NO_REPLICA
+        self._max_attempts = policy.max_attempts
         self._hedge_at = float("inf")
         self._regular_hedge_at = float("inf")
 
     async def run(self) -> Outcome:
         """Return the first good reply, or why there is none."""
+        quarantine = self._context.quarantine
+        if quarantine.retry_delay(self._request) > 0.0:
+            return Outcome(None, QUARANTINED, False, 0)
+        if quarantine.on_trial(self._request):
+            self._max_attempts = 1
         self._start("first")
         try:
             while self._pending:
@@ -113,9 +127,12 @@
                 for result in await self._mailbox.take(until):
                     reply = self._handle_result(result)
                     if reply is not None:
+                        quarantine.record_answer(self._request)
                         return Outcome(reply, None, False, self._attempts)
+                if not self._pending:
+                    await self._retry()
                 now = asyncio.get_running_loop().time()
-                if now >= self._policy.until:
+                if self._pending and now >= self._policy.until:
                     return self._timed_out()
                 if now >= self._hedge_at:
                     self._hedge()
@@ -166,9 +183,12 @@
             self._hedge_at = min(self._regular_hedge_at, max(last, earliest))
 
     def _attempts_left(self) -> bool:
-        return self._attempts < self._policy.max_attempts
+        return self._attempts < self._max_attempts
 
     def _hedge(self) -> None:
+        if self._context.quarantine.suspects(self._request):
+            self._hedge_at = float("inf")
+            return
         budget, service = self._context.budget, self._policy.service
         early = self._hedge_at < self._regular_hedge_at
         if early and budget.remaining(service) < 1.0 + budget.reserve(service):
@@ -214,8 +234,6 @@
             self._unsent += 1
         elif not (reply is not None and reply.not_run):
             self._may_have_run = True
-        if not self._pending:
-            self._retry(failure, reply)
         return None
 
     def _record_error(self, attempt: Attempt, reply: Reply) -> Failure:
@@ -234,13 +252,20 @@
         attempt.pool.record_failure()
         return Failure(Step.REPLY, address, f"status {reply.status}", FailureCode.REFUSED, True)
 
-    def _retry(self, failure: Failure, reply: Reply | None) -> None:
+    async def _retry(self) -> None:
+        """Send the request again after the last attempt has failed, if that is allowed."""
+        failure = self._last_failure
         may_rerun = self._policy.idempotent or not self._may_have_run
         if not may_rerun or not self._attempts_left() or self._unsent >= MAX_UNSENT_ATTEMPTS:
             return
+        if failure.code is FailureCode.LOST:
+            await self._context.quarantine.settle(self._request)
         # An attempt that reached no replica adds no load, so replacing it needs no budget.
-        allowed = not failure.sent or self._context.budget.spend(self._policy.service)
-        started = allowed and self._start("retry")
+        started = (
+            self._context.quarantine.retry_delay(self._request) == 0.0
+            and (not failure.sent or self._context.budget.spend(self._policy.service))
+            and self._start("retry")
+        )
         self._context.journal.record(
             Retried(
                 self._request.request_id,
@@ -255,6 +280,9 @@
         waiting = [attempt for attempt in self._pending if attempt.sent]
         peers = " ".join(attempt.pool.registration.address for attempt in waiting if attempt.pool)
         sent = bool(waiting) or self._may_have_run
+        for attempt in waiting:
+            if attempt.pool is not None and attempt.pool.replied_at < attempt.sent_at:
+                self._context.quarantine.record_loss(self._request, attempt.pool, silent=True)
         reason = "no reply in time" if waiting else "not sent to a replica in time"
         failure = Failure(Step.REPLY, peers, reason, FailureCode.TIMED_OUT, sent)
         return Outcome(self._last_reply, failure, sent, self._attempts)
--- /dev/null
+++ b/auburncart/coordination/forwarding/crash_history.py
@@ -0,0 +1,88 @@
+"""Crashes of replicas during one request and its repetitions, and when it is refused."""
+
+from typing import NamedTuple
+
+from auburncart.state.crash import CrashReport
+
+__all__ = ["CRASH_THRESHOLD", "REFUSAL_SECONDS", "CrashHistory"]
+
+CRASH_THRESHOLD = 3  # fewer crashes may be coincidence
+REFUSAL_SECONDS = 60.0  # a caller that repeats a request for a minute has given up by then
+MAX_REFUSAL_SECONDS = 3600.0
+PROBATION_SECONDS = 600.0  # after a refusal; then the history is forgotten
+
+
+class _Crash(NamedTuple):
+    at: float
+    report: CrashReport
+
+
+class CrashHistory:
+    """Decides from its crashes when a request is refused; works like a circuit breaker.
+
+    Several replicas that are lost in one attempt are one coincidence if another replica answered
+    the attempt, since a request that crashes what runs it has no answers. After three crashes the
+    request is refused for a time; then it is on trial, and the next crash refuses it for twice as
+    long.
+
+    All times are loop times in seconds.
+    """
+
+    def __init__(self) -> None:
+        self._crashes: dict[str, _Crash] = {}
+        self._answered: set[str] = set()
+        self._refused_until = 0.0
+        self._period = 0.0
+
+    @property
+    def refused_until(self) -> float:
+        """Time until which the request is refused, 0 if it never was."""
+        return self._refused_until
+
+    def knows(self, name: str) -> bool:
+        """Return whether a report has been counted."""
+        return name in self._crashes
+
+    def add(self, name: str, report: CrashReport, now: float) -> None:
+        """Count a crash, once for each name."""
+        if name in self._crashes:
+            return
+        self._crashes[name] = _Crash(now, report)
+        if now < self._refused_until:
+            self._refused_until = now + self._period
+        elif self._period or self.count(now) >= CRASH_THRESHOLD:
+            self._period = min(MAX_REFUSAL_SECONDS, 2.0 * self._period or REFUSAL_SECONDS)
+            self._refused_until = now + self._period
+
+    def record_answer(self, attempt: str, now: float) -> None:
+        """Count all crashes during an attempt as one, since a replica has answered it.
+
+        :param attempt: hash of the attempt's identifier.
+        """
+        self._answered.add(attempt)
+        if self._period == REFUSAL_SECONDS and self.count(now) < CRASH_THRESHOLD:
+            self._refused_until = self._period = 0.0
+
+    def count(self, now: float) -> int:
+        """Return the number of recent crashes that are no coincidence."""
+        replicas_by_attempt: dict[str, set[str]] = {}
+        for at, report in self._crashes.values():
+            if now - at >= REFUSAL_SECONDS:
+                continue
+            replicas = replicas_by_attempt.setdefault(report.attempt, set())
+            if not report.silent:
+                replicas.add(report.replica)
+        return sum(
+            1 if attempt in self._answered else max(1, len(replicas))
+            for attempt, replicas in replicas_by_attempt.items()
+        )
+
+    def on_trial(self, now: float) -> bool:
+        """Return whether the request was refused before and may be sent to one replica."""
+        return self._period > 0.0 and now >= self._refused_until
+
+    def expired(self, now: float) -> bool:
+        """Return whether the history can be forgotten."""
+        if self._period:
+            return now >= self._refused_until + PROBATION_SECONDS
+        return all(now - crash.at >= REFUSAL_SECONDS for crash in self._crashes.values())
--- a/auburncart/coordination/forwarding/fanout.py
+++ b/auburncart/coordination/forwarding/fanout.py
@@ -18,7 +18,14 @@
 from auburncart.state.failure import Failure, FailureCode, Step
 from auburncart.state.forward import PartialAnswer
 
-__all__ = ["NO_REPLY_IN_TIME", "NO_STAMP", "Fanout", "merge_partial_answers", "merge_records"]
+__all__ = [
+    "NO_BUDGET",
+    "NO_REPLY_IN_TIME",
+    "NO_STAMP",
+    "Fanout",
+    "merge_partial_answers",
+    "merge_records",
+]
 
 RECORD_BYTES = 16  # size of a record; a shorter remainder of a body is ignored
 LONG_PART_BYTES = 4096  # of a longer part, only its greatest records are kept until the merge
--- a/auburncart/coordination/forwarding/gateway.py
+++ b/auburncart/coordination/forwarding/gateway.py
@@ -6,6 +6,7 @@
 from auburncart.coordination.forwarding.attempts import (
     HEDGE_DELAY_SHARE,
     NO_REPLICA,
+    QUARANTINED,
     AttemptPolicy,
     Attempts,
     ForwardingContext,
@@ -93,8 +94,9 @@
             return Refusal(RefusalCode.NO_ROUTE, "no route for this path", step=Step.ROUTE)
         retry_delay = self._context.quarantine.retry_delay(request)
         if retry_delay > 0.0:
-            reason = "replicas crashed each time they ran this request"
-            return Refusal(RefusalCode.UNAVAILABLE, reason, Ran.NO, retry_delay, Step.ROUTE)
+            return Refusal(
+                RefusalCode.UNAVAILABLE, QUARANTINED.reason, Ran.NO, retry_delay, Step.ROUTE
+            )
         until = min(request.deadline - DEADLINE_MARGIN_SECONDS, request.arrived + route.timeout)
         if route.shards:
             return await self._search(request, route, until)
--- a/auburncart/coordination/forwarding/replica.py
+++ b/auburncart/coordination/forwarding/replica.py
@@ -124,6 +124,7 @@
         self._retired = False
         self._latency = 0.0
         self._latency_at = 0.0
+        self._replied_at = 0.0
         self._failures = 0
         self._ejected_until = 0.0
         self._ejection = INITIAL_EJECTION_SECONDS
@@ -166,6 +167,11 @@
         """Seconds since the latency was last measured."""
         return _now() - self._latency_at
 
+    @property
+    def replied_at(self) -> float:
+        """Loop time in seconds of the last reply, 0 before the first."""
+        return self._replied_at
+
     @property
     def failures(self) -> int:
         """Number of failures since the last success."""
@@ -250,6 +256,11 @@
         else:
             self._latency = seconds
 
+    def record_reply(self, seconds: float) -> None:
+        """Record a reply of any status and the latency of its request."""
+        self._replied_at = _now()
+        self.record_latency(seconds)
+
     def record_success(self) -> None:
         """Record a reply that shows that the replica works, which ends an ejection."""
         self._failures = 0
@@ -413,7 +424,7 @@
             code = FailureCode.LOST if error.sent else FailureCode.UNREACHABLE
             attempt.fail(Failure(Step.REPLY, error.peer, error.reason, code, error.sent))
         else:
-            self._pool.record_latency(_now() - attempt.queued_at)
+            self._pool.record_reply(_now() - attempt.queued_at)
             attempt.complete(reply)
         finally:
             self._pool.release(attempt)
--- a/auburncart/coordination/forwarding/scatter_gather.py
+++ b/auburncart/coordination/forwarding/scatter_gather.py
@@ -3,9 +3,10 @@
 import asyncio
 import math
 
-from auburncart.coordination.forwarding.attempts import ForwardingContext
+from auburncart.coordination.forwarding.attempts import AttemptPolicy, Attempts, ForwardingContext
 from auburncart.coordination.forwarding.delegation import Delegation
 from auburncart.coordination.forwarding.fanout import (
+    NO_BUDGET,
     NO_REPLY_IN_TIME,
     NO_STAMP,
     Fanout,
@@ -37,7 +38,7 @@
         delegation: Delegation | None,
     ) -> None:
         self._search = search
-        self._registry = context.registry
+        self._context = context
         self._fanout = Fanout(search, context, delegation)
         self._needed_parts = max(1, math.ceil(min_share * len(search.shards) - 1e-9))
         self._partials: list[PartialAnswer] = []
@@ -46,12 +47,20 @@
 
     async def run(self) -> MergedAnswer | Refusal:
         """Ask all shards and return the merged answer."""
-        missing = [shard for shard in self._search.shards if not self._registry.candidates(shard)]
+        registry = self._context.registry
+        missing = [shard for shard in self._search.shards if not registry.candidates(shard)]
         if len(self._search.shards) - len(missing) < self._needed_parts:
             reason = f"{len(missing)} of {len(self._search.shards)} shards have no replica"
             return Refusal(
                 RefusalCode.UNAVAILABLE, reason, Ran.NO, RELISTING_RETRY_SECONDS, Step.ROUTE
             )
+        if self._context.quarantine.on_trial(self._search.request):
+            failure = await self._try_one_shard()
+            if failure is not None:
+                ran = Ran.UNKNOWN if failure.sent else Ran.NO
+                return Refusal(
+                    RefusalCode.FAILED, failure.reason, ran, 0.0, failure.step, failure.peer
+                )
         deliver_at, until = self._search.deliver_at, self._search.until
         self._fanout.start()
         try:
@@ -66,6 +75,16 @@
             self._fanout.close()
         return self._answer()
 
+    async def _try_one_shard(self) -> Failure | None:
+        """Send a search that crashed replicas before to one shard; return why it has no part."""
+        search = self._search
+        shard = search.shards[0]
+        if not self._context.budget.spend(shard):
+            return NO_BUDGET
+        policy = AttemptPolicy(shard, search.priority, True, 1, search.hedge_delay, search.until)
+        outcome = await Attempts(search.request, policy, self._context).run()
+        return None if outcome.reply is not None else outcome.failure
+
     @property
     def _part_count(self) -> int:
         return len(self._stamps)
--- a/auburncart/coordination/forwarding/tests/test_crashing_requests.py
+++ b/auburncart/coordination/forwarding/tests/test_crashing_requests.py
@@ -18,6 +18,8 @@
     crash_on_bad_path,
     crashing_request,
 )
+from auburncart.coordination.forwarding.tests.tier_fixture import Tier
+from auburncart.exception import StoreUnavailableError
 from auburncart.standins.replicas import Arrival, FakeReplicaDialer, ReplicaModel
 from auburncart.state.configuration import Route
 from auburncart.state.failure import Ran, Refusal
@@ -57,6 +59,32 @@
     model.service_time = service_time
 
 
+def other_crashing_request(number: int) -> ForwardRequest:
+    return crashing_request(1000 + number)._replace(caller="127.0.0.2:9")
+
+
+def watch_crashes(store: CrashStore, fixtures: list[GatewayFixture]) -> list[asyncio.Task[None]]:
+    """Let VMs watch the reports of crashes."""
+    watchers = [
+        KindWatcher(store, CRASHES, fixture.quarantine, fixture.journal, random.Random(number))
+        for number, fixture in enumerate(fixtures)
+    ]
+    return [asyncio.create_task(watcher.run()) for watcher in watchers]
+
+
+class LossyStore(CrashStore):
+    """A store that loses each second write and answers late."""
+
+    writes = 0
+
+    async def put(self, kind: str, name: str, value: dict) -> None:
+        self.writes += 1
+        await asyncio.sleep(0.5)
+        if self.writes % 2:
+            raise StoreUnavailableError("lost", step="store")
+        await super().put(kind, name, value)
+
+
 class CrashingRequestTest(unittest.TestCase):
     async def _repeat(self, route: Route, replicas_per_service: int, interval: float) -> int:
         """Repeat a crashing request at one VM; return the number of late arrivals."""
@@ -106,12 +134,8 @@
         store, replicas = CrashStore(), FakeReplicaDialer()
         route = search(20)
         fixtures = [GatewayFixture(route, store=store, replicas=replicas) for _ in range(4)]
-        tasks = []
-        for vm, fixture in enumerate(fixtures):
-            watcher = KindWatcher(
-                store, CRASHES, fixture.quarantine, fixture.journal, random.Random(vm)
-            )
-            tasks.append(asyncio.create_task(watcher.run()))
+        tasks = watch_crashes(store, fixtures)
+        for fixture in fixtures:
             for shard in route.shards:
                 for number in range(2):
                     fixture.add(shard, number, crash_on_bad_path(ReplicaModel()))
@@ -120,6 +144,7 @@
             await fixtures[number % 4].gateway.answer(crashing_request(number))
             await asyncio.sleep(2.1)
         self.assertEqual(late_arrivals(replicas.arrivals), 0)
+        self.assertEqual(len(tasks), 4)
 
     @virtual_time
     async def test_a_replica_that_falls_silent_is_counted(self) -> None:
@@ -162,3 +187,75 @@
         assert isinstance(answer, Refusal)
         self.assertIs(answer.ran, Ran.NO)
         self.assertGreater(answer.retry_after, 0.0)
+
+    @virtual_time
+    async def test_crashes_of_two_requests_at_a_time_are_counted(self) -> None:
+        fixture = GatewayFixture(search(20))
+        for shard in search(20).shards:
+            for number in range(2):
+                fixture.add(shard, number, crash_on_bad_path(ReplicaModel()))
+        await asyncio.sleep(BUDGET_SECONDS)
+        for number in range(REPEATS):
+            await asyncio.gather(
+                fixture.gateway.answer(crashing_request(number)),
+                fixture.gateway.answer(other_crashing_request(number)),
+            )
+            await asyncio.sleep(5.5)
+        callers = {arrival.request.caller for arrival in fixture.replicas.arrivals}
+        for caller in callers:
+            arrivals = [
+                arrival for arrival in fixture.replicas.arrivals if arrival.request.caller == caller
+            ]
+            self.assertLessEqual(late_arrivals(arrivals), MAX_LATE_ARRIVALS)
+
+    @virtual_time
+    async def test_a_vm_that_restarts_knows_the_crashes_before_it_is_ready(self) -> None:
+        store = CrashStore()
+        first = GatewayFixture(search(20), store=store)
+        for shard in search(20).shards:
+            first.add(shard, 1, crash_on_bad_path(ReplicaModel()))
+        await first.gateway.answer(crashing_request(1))
+        await asyncio.sleep(1.0)
+        second = GatewayFixture(search(20), store=store, replicas=first.replicas)
+        self.assertFalse(second.quarantine.listed)
+        tasks = watch_crashes(store, [second])
+        await asyncio.sleep(0.1)
+        self.assertTrue(second.quarantine.listed)
+        self.assertGreater(second.quarantine.retry_delay(crashing_request(2)), 0.0)
+        self.assertEqual(len(tasks), 1)
+
+    @virtual_time
+    async def test_crashes_are_counted_while_the_store_loses_writes(self) -> None:
+        store = LossyStore()
+        replicas = FakeReplicaDialer()
+        fixtures = [GatewayFixture(search(20), store=store, replicas=replicas) for _ in range(4)]
+        tasks = watch_crashes(store, fixtures)
+        for fixture in fixtures:
+            for shard in search(20).shards:
+                for number in range(2):
+                    fixture.add(shard, number, crash_on_bad_path(ReplicaModel()))
+        await asyncio.sleep(BUDGET_SECONDS)
+        for number in range(12):
+            await fixtures[number % 4].gateway.answer(crashing_request(number))
+            await asyncio.sleep(2.1)
+        self.assertEqual(late_arrivals(replicas.arrivals), 0)
+        self.assertEqual(len(tasks), 4)
+
+    @virtual_time
+    async def test_crashes_of_a_search_through_other_vms_are_counted(self) -> None:
+        store = CrashStore()
+        tier = Tier({"dc1": 8, "dc2": 8, "dc3": 8}, 30, (("dc1", "dc2"), ("dc2", "dc3")))
+        await tier.link()
+        vms = list(tier.vms.values())
+        for vm in vms:
+            vm.quarantine._store = store
+        for model in tier.replicas.models.values():
+            crash_on_bad_path(model)
+        tasks = watch_crashes(store, vms)
+        await asyncio.sleep(BUDGET_SECONDS)
+        for number in range(20):
+            await vms[7 * number % len(vms)].gateway.answer(crashing_request(number))
+            await asyncio.sleep(2.1)
+        self.assertTrue(tier.questions)
+        self.assertEqual(late_arrivals(tier.replicas.arrivals), 0)
+        self.assertEqual(len(tasks), len(vms))
--- a/auburncart/coordination/forwarding/tests/test_quarantine.py
+++ b/auburncart/coordination/forwarding/tests/test_quarantine.py
@@ -28,7 +28,7 @@
     async def put(self, kind: str, name: str, value: dict) -> None:
         if kind != CRASHES or self.down:
             raise StoreUnavailableError("another kind, or down", step="store")
-        self.write(name, CrashReport(value["digest"]))
+        self.write(name, CrashReport(**value))
 
 
 def crash_on_bad_path(model: ReplicaModel) -> ReplicaModel:
--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -100,12 +100,16 @@
             BudgetBounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_seconds),
             lambda service: self._shares.slack(service),
         )
+        self._quarantine = RequestQuarantine(self._store, self._journal)
         self._request_tracker = RequestTracker(
-            lambda: self._configuration.table is not None and self._replicas.listed
+            lambda: (
+                self._configuration.table is not None
+                and self._replicas.listed
+                and self._quarantine.listed
+            )
         )
-        quarantine = RequestQuarantine(self._store, self._journal)
         context = ForwardingContext(
-            self._registry, ShortestWait(), self._budget, quarantine, self._journal
+            self._registry, ShortestWait(), self._budget, self._quarantine, self._journal
         )
         own = EntryVm(
             settings.name, settings.data_centre, settings.relay_address, settings.merge_address
@@ -115,7 +119,7 @@
         self._watchers = (
             self._make_watcher(CONFIGURATION, ConfigurationSink(self._configuration)),
             self._make_watcher(REPLICAS, self._replicas),
-            self._make_watcher(CRASHES, quarantine, CRASH_WATCH_SECONDS),
+            self._make_watcher(CRASHES, self._quarantine, CRASH_WATCH_SECONDS),
         )
         self._owners = ShardOwners(
             self._all_shards, self._registry, self._roster, settings.distance
@@ -276,6 +280,7 @@
             "leaving": self._request_tracker.leaving,
             "no configuration": self._configuration.table is None,
             "no list of replicas": not self._replicas.listed,
+            "no list of crashes": not self._quarantine.listed,
         }
         return ", ".join(reason for reason, holds in reasons.items() if holds)
 
--- a/auburncart/platform/documents.py
+++ b/auburncart/platform/documents.py
@@ -1,13 +1,14 @@
-"""Objects in the platform's store: the operator's configuration and replicas' entries."""
+"""Objects in the platform's store: configuration, replicas' entries and reports of crashes."""
 
 from typing import Any
 
 import msgspec
 
 from auburncart.state.configuration import CallerLimits, Configuration, Route, Service, Target
+from auburncart.state.crash import CrashReport
 from auburncart.state.registration import Registration
 
-__all__ = ["decode_configuration", "decode_registration"]
+__all__ = ["decode_configuration", "decode_crash", "decode_registration"]
 
 # Fields have the names that the platform uses.
 
@@ -62,6 +63,13 @@
     born: int = 0
 
 
+class _CrashBody(msgspec.Struct):
+    digest: str
+    attempt: str | None = None
+    replica: str = ""
+    silent: bool = False
+
+
 IDEMPOTENT = "idempotent"
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
@@ -105,6 +113,16 @@
     )
 
 
+def decode_crash(name: str, spec: Any) -> CrashReport:
+    """Return the crash that an object reports; earlier versions named only the attempt.
+
+    :raises msgspec.ValidationError: a field is missing or has the wrong type.
+    """
+    body = msgspec.convert(spec, type=_CrashBody)
+    attempt = name if body.attempt is None else body.attempt
+    return CrashReport(body.digest, attempt, body.replica, body.silent)
+
+
 def _route(body: _RouteBody) -> Route:
     if body.targets:
         targets = tuple(Target(target.service, target.weight) for target in body.targets)
--- a/auburncart/platform/store.py
+++ b/auburncart/platform/store.py
@@ -10,9 +10,8 @@
 from auburncart.coordination.forwarding.quarantine import CRASHES
 from auburncart.coordination.forwarding.roster import ENTRY_VMS
 from auburncart.exception import ProtocolError
-from auburncart.platform.documents import decode_configuration, decode_registration
+from auburncart.platform.documents import decode_configuration, decode_crash, decode_registration
 from auburncart.protocol.kinds import KindStoreCall, KindStoreCodec
-from auburncart.state.crash import CrashReport
 from auburncart.state.entryvm import EntryVm
 
 __all__ = ["CONFIGURATION", "REPLICAS", "PlatformKindStoreCodec"]
@@ -50,7 +49,7 @@
 DECODERS: dict[str, Callable[[str, Any], Any]] = {
     CONFIGURATION: lambda name, spec: decode_configuration(spec),
     REPLICAS: decode_registration,
-    CRASHES: lambda name, spec: CrashReport(spec["digest"]),
+    CRASHES: decode_crash,
     ENTRY_VMS: lambda name, spec: EntryVm(
         name, spec["data_centre"], spec["address"], spec.get("merge_address", "")
     ),
--- a/auburncart/state/crash.py
+++ b/auburncart/state/crash.py
@@ -6,9 +6,15 @@
 
 
 class CrashReport(NamedTuple):
-    """An attempt at a request during which a replica crashed.
+    """A replica that crashed during one attempt of a caller.
 
     :param digest: digest of the request and its caller, the same for every attempt.
+    :param attempt: hash of the attempt's identifier.
+    :param replica: hash of the replica's identifier.
+    :param silent: whether the replica fell silent instead of closing its connections.
     """
 
     digest: str
+    attempt: str = ""
+    replica: str = ""
+    silent: bool = False
