--- a/auburncart/coordination/forwarding/replica.py
+++ b/auburncart/coordination/forwarding/replica.py
@@ -3,6 +3,7 @@
 import asyncio
 import heapq
 import itertools
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -25,6 +26,10 @@
 _sequence = itertools.count()
 
 
+def _ignore_limit(replica: Registration, before: float, limit: float) -> None:
+    pass
+
+
 class AttemptResult(NamedTuple):
     """The result of one attempt.
 
@@ -105,6 +110,7 @@
     :param connection_share: returns this VM's share of the connections that the replica accepts.
         Below one, a connection is opened for a request and closed after it, since the replica
         resets the connections beyond its limit.
+    :param on_limit: called with the replica, the limit before and the new one when it changes.
     """
 
     def __init__(
@@ -113,11 +119,14 @@
         distance: int,
         dialer: ReplicaDialer,
         connection_share: Callable[[], float],
+        on_limit: Callable[[Registration, float, float], None] = _ignore_limit,
     ) -> None:
         self.registration = registration
         self.distance = distance
         self._dialer = dialer
         self._connection_share = connection_share
+        self._on_limit = on_limit
+        self._request_limit = float("inf")
         self._queue: list[tuple[int, int, Attempt]] = []
         self._idle: list[_Worker] = []
         self._workers: set[_Worker] = set()
@@ -172,6 +181,11 @@
         """Loop time in seconds of the last reply, 0 before the first."""
         return self._replied_at
 
+    @property
+    def request_limit(self) -> float:
+        """Requests per second that the replica accepts from all VMs, infinity without a limit."""
+        return self._request_limit
+
     @property
     def failures(self) -> int:
         """Number of failures since the last success."""
@@ -261,6 +275,13 @@
         self._replied_at = _now()
         self.record_latency(seconds)
 
+    def record_limit(self, limit: float) -> None:
+        """Record the limit that a reply names; one that is not a number changes nothing."""
+        if math.isnan(limit) or limit == self._request_limit:
+            return
+        before, self._request_limit = self._request_limit, limit
+        self._on_limit(self.registration, before, limit)
+
     def record_success(self) -> None:
         """Record a reply that shows that the replica works, which ends an ejection."""
         self._failures = 0
@@ -425,6 +446,8 @@
             attempt.fail(Failure(Step.REPLY, error.peer, error.reason, code, error.sent))
         else:
             self._pool.record_reply(_now() - attempt.queued_at)
+            if not reply.moved:
+                self._pool.record_limit(reply.request_limit)
             attempt.complete(reply)
         finally:
             self._pool.release(attempt)
--- a/auburncart/coordination/forwarding/replica_registry.py
+++ b/auburncart/coordination/forwarding/replica_registry.py
@@ -6,7 +6,7 @@
 from auburncart.coordination.forwarding.interfaces import ReplicaDialer
 from auburncart.coordination.forwarding.journal import Journal
 from auburncart.coordination.forwarding.replica import ReplicaConnectionPool
-from auburncart.state.event import ReplicasChanged
+from auburncart.state.event import LimitChanged, ReplicasChanged
 from auburncart.state.registration import Registration
 
 __all__ = ["ReplicaRegistry"]
@@ -92,6 +92,7 @@
             self._distance(entry.data_centre),
             self._dialer,
             lambda: self._connection_share(entry.service, entry.data_centre),
+            self._record_limit,
         )
         self._pools[entry.instance] = pool
         self._services.setdefault(entry.service, []).append(pool)
@@ -144,6 +145,9 @@
         pool.retire()
         self._record(pool.registration, change)
 
+    def _record_limit(self, entry: Registration, before: float, limit: float) -> None:
+        self._journal.record(LimitChanged(entry.instance, entry.service, limit, before))
+
     def _record(self, entry: Registration, change: str) -> None:
         self._generation += 1
         event = ReplicasChanged(
--- a/auburncart/platform/messages.py
+++ b/auburncart/platform/messages.py
@@ -1,5 +1,7 @@
 """HTTP headers of the platform's requests and replies."""
 
+import re
+
 from auburncart.exception import InputError, ProtocolError
 from auburncart.protocol.forward import CallerCodec, ReplicaCodec, RequestHead, WireReply
 from auburncart.state.failure import Ran, Refusal, RefusalCode
@@ -19,6 +21,7 @@
 TARGET_INSTANCE_HEADER = b"x-target-instance"
 STAMP_HEADER = b"x-server-stamp"
 NOT_RUN_HEADER = b"x-not-executed"
+LIMIT_HEADER = b"server-limit"  # requests per second, from all machines together
 REPLY_INSTANCE_HEADER = b"x-instance-id"
 # Of two values, either may be that of another reply.
 SINGLE_REPLY_HEADERS = (REQUEST_ID_HEADER, STAMP_HEADER, NOT_RUN_HEADER)
@@ -41,6 +44,7 @@
     )
 )
 MISDIRECTED_STATUS = 421  # the address belongs to another replica, which has not run the request
+DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")
 STATUS_BY_CODE = {
     RefusalCode.BAD_REQUEST: 400,
     RefusalCode.NO_ROUTE: 404,
@@ -148,6 +152,9 @@
             reply.status == MISDIRECTED_STATUS,
             value_by_name.get(REPLY_INSTANCE_HEADER, b"").decode("latin-1"),
             echoed is not None,
+            _request_limit(
+                [value for name, value in reply.headers if name.lower() == LIMIT_HEADER]
+            ),
         )
 
 
@@ -161,6 +168,16 @@
     return WireReply(status, b"", headers, b"")
 
 
+def _request_limit(values: list[bytes]) -> float:
+    """Return the least limit that a replica names, NaN if one is not a positive number."""
+    limits = [
+        float(value) if DECIMAL.fullmatch(value.strip()) else float("nan") for value in values
+    ]
+    if any(limit != limit for limit in limits):
+        return float("nan")
+    return min(limits, default=float("inf"))
+
+
 def _single_value(values_by_name: dict[bytes, list[bytes]], name: bytes) -> bytes:
     values = values_by_name.get(name, [])
     if len(values) != 1:
--- a/auburncart/platform/tests/test_messages.py
+++ b/auburncart/platform/tests/test_messages.py
@@ -1,3 +1,4 @@
+import math
 import unittest
 
 from auburncart.exception import InputError, ProtocolError
@@ -23,6 +24,12 @@
     )
 
 
+def limit_of(values: tuple[bytes, ...]) -> float:
+    headers = tuple((b"Server-Limit", value) for value in values)
+    reply = WireReply(200, b"OK", headers, b"")
+    return PlatformReplicaCodec().decode_reply(reply, request()).request_limit
+
+
 class CallerTest(unittest.TestCase):
     def test_end_to_end_headers_are_forwarded_unchanged(self) -> None:
         decoded = request()
@@ -42,6 +49,19 @@
             ),
         )
 
+    def test_the_limit_that_a_replica_names_is_a_decimal_number(self) -> None:
+        values = {
+            (): float("inf"),
+            (b"12.5",): 12.5,
+            (b" 3 ",): 3.0,
+            (b"0",): 0.0,
+            (b"4", b"2"): 2.0,
+        }
+        for given, limit in values.items():
+            self.assertEqual(limit_of(given), limit)
+        for given in (b"-1", b"1e9", b"nan", b"inf", b"", b"9" * 400, b"1,5", b"1_0"):
+            self.assertTrue(math.isnan(limit_of((given,))), given)
+
     def test_a_reply_with_two_ids_or_two_stamps_is_an_error(self) -> None:
         decoded = request()
         for name in (b"X-Attempt-Id", b"X-Server-Stamp", b"X-Not-Executed"):
--- a/auburncart/standins/replicas.py
+++ b/auburncart/standins/replicas.py
@@ -23,18 +23,21 @@
     """A request that reached a replica.
 
     :param at: loop time of its arrival in seconds.
+    :param vm: name of the VM that sent it, if its dialer has one.
     """
 
     at: float
     instance: str
     request: ForwardRequest
+    vm: str = ""
 
 
 class ReplicaModel:
     """Behaviour of one replica: how long it takes and what it replies.
 
     ``in_flight`` counts the requests that it executes now, ``executed`` those it has executed,
-    ``connections`` the open connections; it resets those beyond ``max_connections``.
+    ``connections`` the open connections; it resets those beyond ``max_connections``. Its replies
+    name ``request_limit``.
 
     :param service_seconds: time of one request.
     :param reply: returns the reply to a request, or None to reset the connection instead.
@@ -49,6 +52,7 @@
         self.reply = reply or ok_reply
         self.reachable = True
         self.max_connections = 1000
+        self.request_limit = float("inf")
         self.connections = 0
         self.in_flight = 0
         self.executed = 0
@@ -70,11 +74,15 @@
 
     ``arrivals`` lists all requests that reached a replica; ``resent_on_connection`` counts those
     whose id had been sent on the same connection before.
+
+    :param vm: name of the VM that uses it.
+    :param shared: a dialer of another VM, to the same replicas.
     """
 
-    def __init__(self) -> None:
-        self.models: dict[str, ReplicaModel] = {}
-        self.arrivals: list[Arrival] = []
+    def __init__(self, vm: str = "", shared: "FakeReplicaDialer | None" = None) -> None:
+        self.vm = vm
+        self.models: dict[str, ReplicaModel] = shared.models if shared else {}
+        self.arrivals: list[Arrival] = shared.arrivals if shared else []
         self.opened_connections = 0
         self.resent_on_connection = 0
 
@@ -121,7 +129,7 @@
         if self._is_reset:
             self.close()
             raise UpstreamError("reset", step="reply", peer=self._registration.address)
-        self._replicas.arrivals.append(Arrival(now, instance, request))
+        self._replicas.arrivals.append(Arrival(now, instance, request, self._replicas.vm))
         self._replicas.resent_on_connection += request.request_id in self._request_ids
         self._request_ids.add(request.request_id)
         self._in_use = True
@@ -142,7 +150,7 @@
             self.close()
             raise UpstreamError("reset", step="reply", peer=self._registration.address)
         self._model.executed += not reply.not_run
-        return reply
+        return reply._replace(request_limit=self._model.request_limit)
 
     def close(self) -> None:
         """Close the connection."""
--- a/auburncart/state/event.py
+++ b/auburncart/state/event.py
@@ -18,6 +18,7 @@
     "Event",
     "Hedged",
     "Left",
+    "LimitChanged",
     "MergedForPeer",
     "ReadinessChanged",
     "Refused",
@@ -160,6 +161,18 @@
     known: int
 
 
+class LimitChanged(NamedTuple):
+    """A replica named another limit on the requests of all VMs, or none any more.
+
+    :param limit: requests per second, infinity for none.
+    """
+
+    instance: str
+    service: str
+    limit: float
+    before: float
+
+
 class EntryUnreadable(NamedTuple):
     """An object of the store could not be decoded and is ignored."""
 
@@ -271,6 +284,7 @@
     | Left
     | ConfigurationInForce
     | ReplicasChanged
+    | LimitChanged
     | EntryUnreadable
     | DependencyLost
     | DependencyRegained
--- a/auburncart/state/forward.py
+++ b/auburncart/state/forward.py
@@ -65,6 +65,8 @@
     :param moved: whether the address now belongs to another replica than the intended one.
     :param instance: identifier of that replica, ``""`` if it is not given.
     :param names_request: whether the reply names the request that it answers.
+    :param request_limit: requests per second that the replica accepts from all VMs together,
+        infinity if it names no limit, NaN if what it names is no number.
     """
 
     status: int
@@ -76,6 +78,7 @@
     moved: bool = False
     instance: str = ""
     names_request: bool = False
+    request_limit: float = float("inf")
 
     @property
     def succeeded(self) -> bool:
