One odd entry among the replicas' hides no other

What callers would see: a VM that follows the list of replicas no more, or whose processor is spent on connects that cannot succeed. Cause: the decoder gave up a whole page or change for one item that nests deeply, holds a number out of range or is no text; addresses were not checked, and an error of a connect that no code expected (ValueError, OverflowError) started the next connect for the same request at once. The class of fault: one bad element that fails its container. Change: items are split without recursion if the page cannot be decoded; addresses, slots and warm-up times are checked; a connect that fails in any way fails the queued attempts.

--- a/auburncart/coordination/forwarding/replica.py
+++ b/auburncart/coordination/forwarding/replica.py
@@ -479,10 +479,15 @@
 
     async def _run(self) -> None:
         """Open the connection and send one request after the other."""
-        failure = None
+        address = self._pool.registration.address
+        # Also of an unexpected error, after which the queued attempts must not be dispatched again.
+        failure: Failure | None = Failure(
+            Step.CONNECT, address, "no connection", FailureCode.UNREACHABLE, False
+        )
         try:
             try:
                 self.connection = await self._dialer.connect(self._pool.registration)
+                failure = None
             except UpstreamError as error:
                 failure = Failure(
                     Step.CONNECT, error.peer, error.reason, FailureCode.UNREACHABLE, False
--- a/auburncart/platform/documents.py
+++ b/auburncart/platform/documents.py
@@ -1,6 +1,8 @@
 """Objects in the platform's store: configuration, replicas' entries and reports of crashes."""
 
-from typing import Any
+import ipaddress
+import re
+from typing import Annotated, Any
 
 import msgspec
 
@@ -10,6 +12,11 @@
 
 __all__ = ["decode_configuration", "decode_crash", "decode_registration"]
 
+MAX_SLOTS = 1_000_000
+MAX_WARM_UP_MS = 86_400_000.0
+MAX_PORT = 65_535
+PORT = re.compile("[0-9]{1,5}", re.ASCII)
+
 # Fields have the names that the platform uses.
 
 
@@ -57,9 +64,9 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
     state: str
-    coldLeftMs: float = 0.0  # noqa: N815
+    coldLeftMs: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_WARM_UP_MS)] = 0.0  # noqa: N815
     born: int = 0
 
 
@@ -99,6 +106,7 @@
     :raises msgspec.ValidationError: a field is missing or invalid, or the state is unknown.
     """
     body = msgspec.convert(spec, type=_ReplicaBody)
+    _check_address(body.address)
     if body.state not in DRAINING_BY_STATE:
         raise msgspec.ValidationError(f"unknown state {body.state!r}")
     return Registration(
@@ -113,6 +121,16 @@
     )
 
 
+def _check_address(address: str) -> None:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise msgspec.ValidationError(f"invalid address {address!r}: {error}") from error
+    if not PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        raise msgspec.ValidationError(f"invalid address {address!r}: no such port")
+
+
 def decode_crash(name: str, spec: Any) -> CrashReport:
     """Return the crash that an object reports; earlier versions named only the attempt.
 
--- a/auburncart/platform/store.py
+++ b/auburncart/platform/store.py
@@ -1,5 +1,6 @@
 """HTTP calls of the platform's store and the bodies of its replies."""
 
+import re
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote
@@ -11,6 +12,7 @@
 from auburncart.coordination.forwarding.roster import ENTRY_VMS
 from auburncart.exception import ProtocolError
 from auburncart.platform.documents import decode_configuration, decode_crash, decode_registration
+from auburncart.protocol.json_items import split_items
 from auburncart.protocol.kinds import KindStoreCall, KindStoreCodec
 from auburncart.state.entryvm import EntryVm
 
@@ -46,6 +48,7 @@
     atRev: int  # noqa: N815
 
 
+_NAME = re.compile(rb'"meta"\s*:\s*\{[^{}]*?"name"\s*:\s*"([^"\\]*)"')
 DECODERS: dict[str, Callable[[str, Any], Any]] = {
     CONFIGURATION: lambda name, spec: decode_configuration(spec),
     REPLICAS: decode_registration,
@@ -87,14 +90,24 @@
 
     def decode_page(self, kind: str, body: bytes) -> Page:
         """Return the page of a list in a reply."""
-        page = _decode(body, _PageBody)
+        try:
+            page = _decode(body, _PageBody)
+        except ProtocolError:
+            body, items = split_items(body, b"items")
+            page = _decode(body, _PageBody)
+            page.items = [msgspec.Raw(item) for item in items]
         return Page(
             tuple(_entry(kind, item, False) for item in page.items), page.hasMore, page.atRev
         )
 
     def decode_changes(self, kind: str, body: bytes) -> Changes:
         """Return the changes in a reply."""
-        events = _decode(body, _EventsBody)
+        try:
+            events = _decode(body, _EventsBody)
+        except ProtocolError:
+            body, items = split_items(body, b"events")
+            events = _decode(body, _EventsBody)
+            events.events = [_event(item) for item in items]
         entries = tuple(_entry(kind, event.object, event.deleted) for event in events.events)
         return Changes(entries, events.atRev)
 
@@ -106,9 +119,27 @@
         raise ProtocolError(str(error), step="store") from error
 
 
+def _event(raw: bytes) -> _Event:
+    """Return one change; of one that cannot be decoded only the name may be known."""
+    try:
+        event: _Event = _decode(raw, _Event)
+    except ProtocolError:
+        return _Event(msgspec.Raw(raw))
+    return event
+
+
+def _name_in(raw: bytes) -> str:
+    """Return the name of an object that cannot be decoded, ``""`` if it is not found."""
+    found = _NAME.search(raw)
+    return found.group(1).decode("utf-8", "replace") if found else ""
+
+
 def _entry(kind: str, raw: msgspec.Raw, deleted: bool) -> Entry:
     """Return the entry of one object; an invalid one gets an error and hides no other."""
-    item = _decode(bytes(raw), _Object)
+    try:
+        item = _decode(bytes(raw), _Object)
+    except ProtocolError as error:
+        return Entry(_name_in(bytes(raw)), None, 0, error.reason)
     if deleted:
         return Entry(item.meta.name, None, item.meta.rev)
     try:
--- a/auburncart/platform/tests/test_store.py
+++ b/auburncart/platform/tests/test_store.py
@@ -10,6 +10,32 @@
 }  # fmt: skip
 
 
+DEEP = b"[" * 100_000 + b"]" * 100_000
+
+
+def odd_spec(**fields: bytes) -> bytes:
+    """Return the JSON of a replica's entry with some fields replaced."""
+    texts = {name: json.dumps(value).encode() for name, value in REPLICA.items()} | fields
+    return b"{%b}" % b",".join(b'"%b":%b' % (name.encode(), text) for name, text in texts.items())
+
+
+ODD_SPECS = {
+    "deeply nested": DEEP,
+    "a deeply nested field": odd_spec(extra=DEEP),
+    "a number beyond all floats": odd_spec(coldLeftMs=b"1e999"),
+    "a negative number": odd_spec(slots=b"-1"),
+    "an integer of 400 digits": odd_spec(slots=b"1" + 400 * b"0"),
+    "not a number": odd_spec(slots=b"NaN"),
+    "invalid text": odd_spec(service=b'"\xff"'),
+    "half a surrogate": odd_spec(service=b'"\\ud800"'),
+    "a port out of range": odd_spec(address=b'"127.0.0.1:65536"'),
+    "a negative port": odd_spec(address=b'"127.0.0.1:-1"'),
+    "no port": odd_spec(address=b'"127.0.0.1"'),
+    "a host name": odd_spec(address=b'"replica.example:80"'),
+    "an empty address": odd_spec(address=b'""'),
+}
+
+
 def stored_object(name: str, spec: object) -> dict:
     return {"meta": {"name": name, "rev": 3}, "spec": spec}
 
@@ -38,6 +64,29 @@
         self.assertEqual([entry.name for entry in entries if entry.value], ["i-1"])
         self.assertTrue(all(entry.error for entry in entries if not entry.value))
 
+    def test_an_odd_entry_of_another_writer_hides_no_other(self) -> None:
+        good = json.dumps(stored_object("i-1", REPLICA)).encode()
+        for reason, odd in ODD_SPECS.items():
+            with self.subTest(reason):
+                raw = b'{"meta":{"name":"odd","rev":4},"spec":%b}' % odd
+                page = PlatformKindStoreCodec().decode_page(
+                    REPLICAS, b'{"items":[%b,%b],"hasMore":true,"atRev":9}' % (raw, good)
+                )
+                self.assertEqual((page.has_more, page.revision), (True, 9))
+                self.assertEqual([entry.name for entry in page.entries], ["odd", "i-1"])
+                self.assertEqual([bool(entry.error) for entry in page.entries], [True, False])
+                changes = PlatformKindStoreCodec().decode_changes(
+                    REPLICAS, b'{"events":[{"object":%b},{"object":%b}],"atRev":9}' % (raw, good)
+                )
+                self.assertEqual(changes.revision, 9)
+                self.assertEqual([entry.name for entry in changes.entries], ["odd", "i-1"])
+                self.assertEqual([bool(entry.error) for entry in changes.entries], [True, False])
+
+    def test_a_body_that_is_no_page_is_an_error(self) -> None:
+        for body in (b"", b"[]", b'{"items":', b'{"items":[', b'{"items":[1}', b"[" * 100_000):
+            with self.subTest(body[:20]), self.assertRaises(ProtocolError):
+                PlatformKindStoreCodec().decode_page(REPLICAS, body)
+
     def test_configuration_is_converted_to_seconds(self) -> None:
         spec = {
             "configVersion": 7,
--- a/auburncart/transport/client.py
+++ b/auburncart/transport/client.py
@@ -89,16 +89,16 @@
         :param seconds: timeout.
         :raises LinkError: the server could not be reached.
         """
-        host, port = split_address(address)
         loop = asyncio.get_running_loop()
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(seconds):
                 _, connection = await loop.create_connection(
                     lambda: cls(address, max_bytes, memory), host, port
                 )
         except TimeoutError as error:
             raise LinkError("connect timed out", step="connect", peer=address) from error
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
             raise LinkError(str(error), step="connect", peer=address) from error
         return connection
 
--- a/auburncart/transport/tests/test_client.py
+++ b/auburncart/transport/tests/test_client.py
@@ -105,6 +105,11 @@
         with self.assertRaises(ProtocolError):
             await self.get_reply(b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + b"x" * 2000)
 
+    async def test_an_address_that_cannot_be_connected_to_is_a_link_error(self) -> None:
+        for address in ("127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:port", "", "127.0.0.1"):
+            with self.subTest(address), self.assertRaises(LinkError):
+                await ClientConnection.open(address, SECONDS, 1000)
+
     async def test_an_interim_reply_is_skipped(self) -> None:
         self.keeps_alive = True
         reply = await self.get_reply(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + OK)
