A planned stop answers what it cannot finish

What callers would see: a connection closed without an answer at the end of a VM's grace, also for an order. Cause: orders were passed on however little of the grace was left, and what was in flight at its end was cancelled with its connection. Reported by operators of other systems. Change: RequestTracker knows when the VM ends. An order that comes with less than twice its latency target left is refused as not run; what is in flight at the end is answered 504, which promises nothing.

--- a/auburncart/coordination/forwarding/gateway.py
+++ b/auburncart/coordination/forwarding/gateway.py
@@ -36,6 +36,8 @@
 SHARD_MARGIN_SECONDS = 0.0001  # for each shard, to merge its part and end its task
 CONNECT_MARGIN_SECONDS = 0.008  # if the caller has just opened its connection
 DEADLINE_MARGIN_SECONDS = 0.02  # before a caller's deadline, so that the answer arrives in time
+# That must be left when a request comes that must not be repeated, before this VM ends.
+MIN_LATENCY_TARGETS_LEFT = 2.0
 RETRY_AFTER_SECONDS = 0.25  # about as long as a replica stays ejected
 
 
@@ -82,11 +84,20 @@
             try:
                 answer = await self._answer(request, route)
             except asyncio.CancelledError:
-                self._context.journal.record(Left(request.request_id, self._age(request)))
-                raise
+                if not self._request_tracker.cut_off:
+                    self._context.journal.record(Left(request.request_id, self._age(request)))
+                    raise
+                answer = self._cut_off_answer()
             self._record(request, route, answer)
             return answer
 
+    def _cut_off_answer(self) -> Refusal:
+        """Return the answer to a request that is in flight when this VM ends."""
+        task = asyncio.current_task()
+        assert task is not None
+        task.uncancel()
+        return Refusal(RefusalCode.TIMED_OUT, "this VM ends", Ran.UNKNOWN, step=Step.SHUTDOWN)
+
     async def _answer(self, request: ForwardRequest, route: Route | None) -> ForwardAnswer:
         if self._configuration.table is None:
             return Refusal(
@@ -102,6 +113,15 @@
             return Refusal(
                 RefusalCode.UNAVAILABLE, QUARANTINED.reason, Ran.NO, retry_delay, Step.ROUTE
             )
+        time_left = self._request_tracker.ends_at - asyncio.get_running_loop().time()
+        if not route.idempotent and time_left < MIN_LATENCY_TARGETS_LEFT * route.latency_target:
+            return Refusal(
+                RefusalCode.UNAVAILABLE,
+                "this VM ends before the request might be answered",
+                Ran.NO,
+                RETRY_AFTER_SECONDS,
+                Step.SHUTDOWN,
+            )
         until = min(request.deadline - DEADLINE_MARGIN_SECONDS, request.arrived + route.timeout)
         if route.shards:
             return await self._search(request, route, until)
--- a/auburncart/coordination/shutdown.py
+++ b/auburncart/coordination/shutdown.py
@@ -12,6 +12,7 @@
 
 # Of the drain timeout; what arrives later would have too little time to be answered.
 ACCEPTING_SHARE = 0.25
+LAST_ANSWERS_SECONDS = 0.1  # for the requests that were cut off to be answered
 
 
 class FrontEnd(ABC):
@@ -55,6 +56,8 @@
         self._requests: set[asyncio.Task[object]] = set()
         self._leaving_callbacks: list[Callable[[], None]] = []
         self._leaving = False
+        self._ends_at = float("inf")
+        self._cut_off = False
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -68,14 +71,28 @@
         """Whether this VM is leaving."""
         return self._leaving
 
+    @property
+    def ends_at(self) -> float:
+        """Loop time in seconds at which the requests in flight are cut off, infinity if never."""
+        return self._ends_at
+
+    @property
+    def cut_off(self) -> bool:
+        """Whether the requests in flight have been cut off."""
+        return self._cut_off
+
     @property
     def in_flight(self) -> int:
         """Number of requests that were accepted and not yet answered."""
         return len(self._requests)
 
-    def leave(self) -> None:
-        """Turn readiness off; requests that still arrive are served."""
+    def leave(self, ends_at: float = float("inf")) -> None:
+        """Turn readiness off; requests that still arrive are served.
+
+        :param ends_at: loop time in seconds at which the requests in flight are cut off.
+        """
         self._leaving = True
+        self._ends_at = ends_at
         for callback in self._leaving_callbacks:
             callback()
 
@@ -102,10 +119,11 @@
         await self._idle.wait()
 
     def cancel_all(self) -> int:
-        """Cancel the requests in flight; their callers do not learn the outcome.
+        """Cancel the requests in flight; a task may still answer that the outcome is unknown.
 
         :return: the number of requests cancelled.
         """
+        self._cut_off = True
         for task in self._requests:
             task.cancel()
         return len(self._requests)
@@ -136,18 +154,24 @@
 
         :return: number of requests that were cut off.
         """
-        self._request_tracker.leave()
+        times = self._times
+        now = asyncio.get_running_loop().time()
+        self._request_tracker.leave(now + times.balancer_lag + times.drain_timeout)
         self._front.close_after_reply()
         log_message(message_type="leaving", in_flight=self._request_tracker.in_flight)
-        await self._wait_unless_skipped(asyncio.sleep(self._times.balancer_lag))
+        await self._wait_unless_skipped(asyncio.sleep(times.balancer_lag))
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._times.drain_timeout):
+            async with asyncio.timeout(times.drain_timeout):
                 with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(ACCEPTING_SHARE * self._times.drain_timeout):
+                    async with asyncio.timeout(ACCEPTING_SHARE * times.drain_timeout):
                         await self._wait_unless_skipped(self._request_tracker.wait_idle())
                 await self._wait_unless_skipped(self._front.finish())
                 await self._wait_unless_skipped(self._request_tracker.wait_idle())
         cut_off = self._request_tracker.cancel_all()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_ANSWERS_SECONDS):
+                await self._request_tracker.wait_idle()
+        await asyncio.sleep(0.0)  # for the front end to write the last answers
         await self._front.stop()
         log_message(message_type="left", cut_off=cut_off)
         return cut_off
