A replica that asks for a pause gets one

Cause: the header was not read; ejection only puts a replica last. Change: what a reply announces is one NamedTuple, Announcement, decoded in platform; ReplicaPace has the limit and the pause of a replica, and its pool of connections asks it before each request. After a pause one request is sent first. A rejection without Server-Limit does not end a limit. Retry-After is capped at 300 s; with 429 it names no pause.

--- a/auburncart/coordination/forwarding/attempts.py
+++ b/auburncart/coordination/forwarding/attempts.py
@@ -33,7 +33,7 @@
 MAX_UNSENT_ATTEMPTS = 4  # attempts that reached no replica, after which no more are made
 NO_REPLICA = Failure(Step.ROUTE, "", "no replica may be asked", FailureCode.UNREACHABLE, False)
 LIMITED = Failure(
-    Step.ROUTE, "", "the replicas' limits admit no more in time", FailureCode.SHED, False
+    Step.ROUTE, "", "the replicas take no more requests in time", FailureCode.SHED, False
 )
 QUARANTINED = Failure(
     Step.ROUTE,
@@ -157,7 +157,7 @@
         now = asyncio.get_running_loop().time()
         # Only the first attempt waits for a limit: an extra one is of use only at once.
         patience = max(0.0, self._policy.send_by - now) if reason == "first" else 0.0
-        admitted = [pool for pool in candidates if pool.limit_delay(priority) <= patience]
+        admitted = [pool for pool in candidates if pool.send_delay(priority) <= patience]
         if candidates and not admitted and reason == "first":
             self._last_failure = LIMITED
         pool = self._context.selection.pick(admitted, self._tried, priority)
--- a/auburncart/coordination/forwarding/choice.py
+++ b/auburncart/coordination/forwarding/choice.py
@@ -51,13 +51,13 @@
             return None
         return min(
             untried,
-            key=lambda pool: (pool.ejected, _expected_wait(pool) + pool.limit_delay(priority)),
+            key=lambda pool: (pool.ejected, _expected_wait(pool) + pool.send_delay(priority)),
         )
 
     def expected_reply_time(self, pool: ReplicaConnectionPool) -> float:
         """Return the expected wait, with a connect if no connection is open."""
         connect = 0.0 if pool.connections else CONNECT_SECONDS + DISTANCE_SECONDS[pool.distance]
-        return _expected_wait(pool) + connect + pool.limit_delay(0)
+        return _expected_wait(pool) + connect + pool.send_delay(0)
 
 
 def _expected_wait(pool: ReplicaConnectionPool) -> float:
--- a/auburncart/coordination/forwarding/gateway.py
+++ b/auburncart/coordination/forwarding/gateway.py
@@ -174,7 +174,7 @@
             if failure is NO_REPLICA:
                 retry_after = RELISTING_RETRY_SECONDS
             if failure is LIMITED:
-                delay = self._context.registry.limit_delay(policy.service, policy.priority)
+                delay = self._context.registry.send_delay(policy.service, policy.priority)
                 retry_after = limited_retry_after(delay)
             return Refusal(code, failure.reason, Ran.NO, retry_after, failure.step, failure.peer)
         code = RefusalCode.FAILED
--- a/auburncart/coordination/forwarding/replica.py
+++ b/auburncart/coordination/forwarding/replica.py
@@ -3,19 +3,17 @@
 import asyncio
 import heapq
 import itertools
-import math
-from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import NamedTuple
 
 from auburncart.coordination.forwarding.interfaces import ReplicaConnection, ReplicaDialer
-from auburncart.coordination.forwarding.request_limit import RequestLimit, RequestShare
+from auburncart.coordination.forwarding.replica_pace import PaceShares, ReplicaPace
 from auburncart.exception import UpstreamError
 from auburncart.state.failure import Failure, FailureCode, Step
 from auburncart.state.forward import ForwardRequest, Reply
 from auburncart.state.registration import Registration
 
-__all__ = ["Attempt", "AttemptResult", "ReplicaConnectionPool", "RequestLimits"]
+__all__ = ["Attempt", "AttemptResult", "ReplicaConnectionPool"]
 
 LATENCY_SAMPLE_WEIGHT = 0.15  # of the newest sample; about the last ten requests count
 # Well below one second, the shortest time for which a replica keeps an idle connection.
@@ -25,8 +23,7 @@
 INITIAL_EJECTION_SECONDS = 0.5  # a restart takes a replica some seconds
 MAX_EJECTION_SECONDS = 4.0  # a recovered replica is found within the settling time after a fault
 FAILURES_TO_EJECT = 2  # a single failure may be due to the connection
-SHARE_CHECK_SECONDS = 1.0  # between changes of a share, as VMs come and go
-LIMIT_CHECK_SECONDS = 1.0  # for requests that wait for a limit
+DELAY_CHECK_SECONDS = 1.0  # for requests that wait until the replica takes them
 CLOCK_RESOLUTION_SECONDS = 1e-6  # a loop may run a timer early by its clock's resolution
 _sequence = itertools.count()
 
@@ -102,21 +99,6 @@
             self._on_finish(result)
 
 
-class RequestLimits(ABC):
-    """Divides the limits that replicas name among the VMs."""
-
-    @abstractmethod
-    def share(self, replica: Registration, limit: float) -> RequestShare:
-        """Return this VM's part of a limit.
-
-        :param limit: requests per second that the replica accepts from all VMs.
-        """
-
-    @abstractmethod
-    def record(self, replica: Registration, before: float, limit: float) -> None:
-        """Record that a replica names another limit; infinity stands for none."""
-
-
 class ReplicaConnectionPool:
     """The connections to one replica, each with a task that sends one request at a time.
 
@@ -126,7 +108,8 @@
     :param connection_share: returns this VM's share of the connections that the replica accepts.
         Below one, a connection is opened for a request and closed after it, since the replica
         resets the connections beyond its limit.
-    :param limits: divides the limits that the replica names among the VMs.
+    :param shares: divides the limits that the replica names among the VMs.
+    :param on_leaving: called with this pool when the replica says that it is about to end.
     """
 
     def __init__(
@@ -135,15 +118,16 @@
         distance: int,
         dialer: ReplicaDialer,
         connection_share: Callable[[], float],
-        limits: "RequestLimits",
+        shares: PaceShares,
+        on_leaving: Callable[["ReplicaConnectionPool"], None],
     ) -> None:
         self.registration = registration
         self.distance = distance
         self._dialer = dialer
         self._connection_share = connection_share
-        self._limits = limits
-        self._limit: RequestLimit | None = None
-        self._limit_shared_at = 0.0
+        self._on_leaving = on_leaving
+        self._pace = ReplicaPace(shares)
+        self._leaving = False
         self._timer: asyncio.TimerHandle | None = None
         self._queue: list[tuple[int, int, Attempt]] = []
         self._idle: list[_Worker] = []
@@ -202,7 +186,12 @@
     @property
     def request_limit(self) -> float:
         """Requests per second that the replica accepts from all VMs, infinity without a limit."""
-        return self._limit.limit if self._limit is not None else math.inf
+        return self._pace.request_limit
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the replica has said that it is about to end."""
+        return self._leaving
 
     @property
     def failures(self) -> int:
@@ -293,34 +282,23 @@
         self._replied_at = _now()
         self.record_latency(seconds)
 
-    def record_limit(self, limit: float) -> None:
-        """Record the limit that a reply names; one that is not a number changes nothing."""
-        if math.isnan(limit):
-            return
-        now, before = _now(), self.request_limit
-        if math.isinf(limit):
-            self._limit = None
-        elif self._limit is None:
-            self._limit = RequestLimit(limit, self._limits.share(self.registration, limit), now)
-            self._limit_shared_at = now
-        elif limit != before or now - self._limit_shared_at > SHARE_CHECK_SECONDS:
-            self._limit.renew(limit, self._limits.share(self.registration, limit), now)
-            self._limit_shared_at = now
-        if limit != before:
-            self._limits.record(self.registration, before, limit)
+    def record_announcement(self, reply: Reply) -> None:
+        """Record what the replica says about itself in a reply."""
+        announced, was_active = reply.announced, self._pace.active
+        self._pace.announce(self.registration, announced, _now(), ran=not reply.not_run)
+        if announced.leaving and not self._leaving:
+            self._leaving = True
+        if was_active:
             for _ in range(len(self._queue)):
                 self._dispatch()
 
-    def limit_delay(self, priority: int) -> float:
-        """Return the seconds for which a request that is queued now waits for the limit.
+    def send_delay(self, priority: int) -> float:
+        """Return the seconds for which the replica lets a request wait that is queued now.
 
         :param priority: its rank, 0 the most urgent.
         """
-        limit = self._current_limit()
-        if limit is None:
-            return 0.0
         ahead = sum(queued <= priority for queued, _, _ in self._queue)
-        return limit.delay(priority, ahead, _now())
+        return self._pace.delay(self.registration, priority, ahead, len(self._in_flight), _now())
 
     def record_success(self) -> None:
         """Record a reply that shows that the replica works, which ends an ejection."""
@@ -340,22 +318,16 @@
             self._ejection = min(MAX_EJECTION_SECONDS, 2.0 * self._ejection)
 
     def _head_delay(self) -> float:
-        """Return the seconds until the limit lets the first queued request be sent."""
-        limit = self._current_limit()
-        return limit.delay(self._queue[0][0], 0, _now()) if limit is not None else 0.0
-
-    def _current_limit(self) -> RequestLimit | None:
-        """Return the limit in force; one that was not named for long has ended."""
-        if self._limit is not None and self._limit.expired(_now()):
-            self.record_limit(math.inf)
-        return self._limit
+        """Return the seconds until the first queued request may be sent."""
+        priority = self._queue[0][0]
+        return self._pace.delay(self.registration, priority, 0, len(self._in_flight), _now())
 
     def _dispatch_after(self, delay: float) -> None:
-        """Dispatch the first queued request once the limit lets it be sent."""
+        """Dispatch the first queued request once it may be sent."""
         if self._timer is not None:
             self._timer.cancel()
-        # The limit may change or expire meanwhile.
-        delay = min(delay, LIMIT_CHECK_SECONDS) + CLOCK_RESOLUTION_SECONDS
+        # The replica's limit may change or expire meanwhile.
+        delay = min(delay, DELAY_CHECK_SECONDS) + CLOCK_RESOLUTION_SECONDS
         self._timer = asyncio.get_running_loop().call_later(delay, self._dispatch)
 
     def _dispatch(self) -> None:
@@ -383,12 +355,12 @@
             self._dispatch()
             return None
         attempt = heapq.heappop(self._queue)[2]
-        if self._limit is not None:
-            self._limit.take(_now())
-            self._dispatch()
+        self._pace.take(_now())
         attempt.connection = worker.connection
         attempt.sent_at = _now()
         self._in_flight[attempt] = None
+        if self._pace.active:
+            self._dispatch()
         return attempt
 
     def release(self, attempt: Attempt) -> None:
@@ -523,7 +495,7 @@
         else:
             self._pool.record_reply(_now() - attempt.queued_at)
             if not reply.moved:
-                self._pool.record_limit(reply.request_limit)
+                self._pool.record_announcement(reply)
             attempt.complete(reply)
         finally:
             self._pool.release(attempt)
--- a/auburncart/coordination/forwarding/replica_registry.py
+++ b/auburncart/coordination/forwarding/replica_registry.py
@@ -1,13 +1,16 @@
 """The replicas of each service, as listed in the platform's store."""
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from auburncart.coordination.forwarding.interfaces import ReplicaDialer
 from auburncart.coordination.forwarding.journal import Journal
-from auburncart.coordination.forwarding.replica import ReplicaConnectionPool, RequestLimits
+from auburncart.coordination.forwarding.replica import ReplicaConnectionPool
+from auburncart.coordination.forwarding.replica_pace import PaceShares
 from auburncart.coordination.forwarding.request_limit import RequestShare
-from auburncart.state.event import LimitChanged, ReplicasChanged
+from auburncart.state.event import LimitChanged, ReplicaPaused, ReplicasChanged
 from auburncart.state.registration import Registration
 
 __all__ = ["ReplicaRegistry"]
@@ -15,6 +18,16 @@
 REREGISTRATION_SECONDS = 2.0  # within which live replicas register again after an outage
 # Between checks of idle connections; well below the shortest idle limit.
 IDLE_CHECK_SECONDS = 1.0
+MAX_LEAVING = 10_000  # processes that are remembered as leaving
+
+
+class _Process(NamedTuple):
+    """What tells a replica's process from others, also from an earlier one of the same name."""
+
+    instance: str
+    address: str
+    service: str
+    started_at_ms: int
 
 
 class ReplicaRegistry:
@@ -40,11 +53,12 @@
         self._distance = distance
         self._dialer = dialer
         self._connection_share = connection_share
-        self._limits = _SharedLimits(request_share, journal)
+        self._shares = _TierShares(request_share, journal)
         self._journal = journal
         self._pools: dict[str, ReplicaConnectionPool] = {}
         self._services: dict[str, list[ReplicaConnectionPool]] = {}
         self._expired: dict[str, float] = {}
+        self._leaving: OrderedDict[_Process, None] = OrderedDict()
         self._reregistration_until = 0.0
         self._generation = 0
 
@@ -67,9 +81,9 @@
         """Return the replicas of a service to which new requests may be sent."""
         return [pool for pool in self._services.get(service, ()) if pool.usable]
 
-    def limit_delay(self, service: str, priority: int) -> float:
-        """Return the seconds until the limits of a service's replicas admit one more request."""
-        delays = (pool.limit_delay(priority) for pool in self.candidates(service))
+    def send_delay(self, service: str, priority: int) -> float:
+        """Return the seconds until a replica of a service takes one more request."""
+        delays = (pool.send_delay(priority) for pool in self.candidates(service))
         return min(delays, default=0.0)
 
     def store_recovered(self) -> None:
@@ -101,12 +115,13 @@
             self._distance(entry.data_centre),
             self._dialer,
             lambda: self._connection_share(entry.service, entry.data_centre),
-            self._limits,
+            self._shares,
+            self._retire_leaving,
         )
         self._pools[entry.instance] = pool
         self._services.setdefault(entry.service, []).append(pool)
         self._record(entry, "draining" if entry.draining else "added")
-        if entry.draining:
+        if entry.draining or _process_of(entry) in self._leaving:
             pool.retire()
 
     def remove(self, instance: str) -> None:
@@ -148,6 +163,15 @@
         for pool in self._pools.values():
             pool.close()
 
+    def _retire_leaving(self, pool: ReplicaConnectionPool) -> None:
+        """Retire a replica that says that it is about to end, whatever the store lists."""
+        self._leaving[_process_of(pool.registration)] = None
+        while len(self._leaving) > MAX_LEAVING:
+            self._leaving.popitem(last=False)
+        if pool.usable:
+            self._record(pool.registration, "leaving")
+        pool.retire()
+
     def _remove_now(self, instance: str, change: str) -> None:
         pool = self._pools.pop(instance)
         self._services[pool.registration.service].remove(pool)
@@ -162,8 +186,8 @@
         self._journal.record(event)
 
 
-class _SharedLimits(RequestLimits):
-    """Limits that all VMs share.
+class _TierShares(PaceShares):
+    """Limits that all VMs share, by the list of VMs.
 
     :param request_share: returns this VM's share of a limit that a replica names.
     :param journal: records changes of the limits.
@@ -179,17 +203,21 @@
         """Return this VM's part of a limit."""
         return self._request_share(replica, limit)
 
-    def record(self, replica: Registration, before: float, limit: float) -> None:
+    def record_limit(self, replica: Registration, before: float, limit: float) -> None:
         """Log that a replica names another limit."""
         self._journal.record(LimitChanged(replica.instance, replica.service, limit, before))
 
+    def record_pause(self, replica: Registration, seconds: float) -> None:
+        """Log that a replica wants no requests from this VM for some time."""
+        self._journal.record(ReplicaPaused(replica.instance, replica.service, seconds))
+
 
 def _same_process(one: Registration, other: Registration) -> bool:
-    return (one.address, one.service, one.started_at_ms) == (
-        other.address,
-        other.service,
-        other.started_at_ms,
-    )
+    return _process_of(one) == _process_of(other)
+
+
+def _process_of(entry: Registration) -> _Process:
+    return _Process(entry.instance, entry.address, entry.service, entry.started_at_ms)
 
 
 def _now() -> float:
--- a/auburncart/coordination/forwarding/scatter_gather.py
+++ b/auburncart/coordination/forwarding/scatter_gather.py
@@ -73,7 +73,7 @@
             return Refusal(
                 RefusalCode.UNAVAILABLE, reason, Ran.NO, RELISTING_RETRY_SECONDS, Step.ROUTE
             )
-        delay = self._limit_delay()
+        delay = self._send_delay()
         if delay > 0.0:
             return Refusal(
                 RefusalCode.OVERLOADED,
@@ -103,11 +103,11 @@
             self._fanout.close()
         return self._answer()
 
-    def _limit_delay(self) -> float:
+    def _send_delay(self) -> float:
         """Return the seconds until the limits of replicas admit enough parts, 0 if they do now."""
         search, registry = self._search, self._context.registry
         patience = 0.5 * (search.deliver_at - asyncio.get_running_loop().time())
-        delays = sorted(registry.limit_delay(shard, search.priority) for shard in search.shards)
+        delays = sorted(registry.send_delay(shard, search.priority) for shard in search.shards)
         delay = delays[self._needed_parts - 1]
         return delay if delay > patience else 0.0
 
--- /dev/null
+++ b/auburncart/coordination/forwarding/tests/test_announcements.py
@@ -0,0 +1,103 @@
+"""What replicas say about themselves: not before some time, and leaving."""
+
+import asyncio
+import unittest
+
+from auburncart.coordination.forwarding.tests.gateway_fixture import (
+    GatewayFixture,
+    one_service,
+    request,
+    search,
+)
+from auburncart.standins.replicas import ReplicaModel, shed_reply
+from auburncart.state.event import ReplicaPaused
+from auburncart.state.failure import Ran, Refusal
+from auburncart.state.forward import ForwardRequest, Reply
+from auburncart.tests.virtual import virtual_time
+
+TOLD_SECONDS = 0.5  # after a reply, until the requests that it excludes count
+START_SECONDS = 20.0
+
+
+def error_reply(request: ForwardRequest) -> Reply:
+    return Reply(500, b"", (), b"", b"proof")
+
+
+def limited_reply(request: ForwardRequest) -> Reply:
+    return Reply(429, b"", (), b"", not_run=True)
+
+
+class PauseTest(unittest.TestCase):
+    def arrivals_in_pause(self, fixture: GatewayFixture, instance: str, pause: float) -> int:
+        """Return the arrivals at a replica in the pause that began with its first one."""
+        times = [item.at for item in fixture.replicas.arrivals if item.instance == instance]
+        return sum(TOLD_SECONDS < at - times[0] < pause for at in times)
+
+    @virtual_time
+    async def test_a_replica_gets_no_requests_until_its_pause_is_over(self) -> None:
+        for route in (one_service(), one_service(idempotent=False), search(20)):
+            fixture = GatewayFixture(route)
+            services = [target.service for target in route.targets] or route.shards
+            for service in services:
+                for number in range(2):
+                    fixture.add(service, number, ReplicaModel(reply=shed_reply)).retry_after = 4.0
+            await asyncio.sleep(START_SECONDS)
+            for number in range(100):
+                asyncio.create_task(fixture.gateway.answer(request(number)))
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(2.0)
+            for instance in fixture.replicas.models:
+                self.assertLessEqual(self.arrivals_in_pause(fixture, instance, 4.0), 2)
+            fixture.registry.close()
+
+    @virtual_time
+    async def test_a_pause_of_all_replicas_is_refused_at_once(self) -> None:
+        fixture = GatewayFixture(one_service())
+        for number in range(2):
+            fixture.add("s", number, ReplicaModel(reply=shed_reply)).retry_after = 9.0
+        await asyncio.sleep(START_SECONDS)
+        for number in range(3):
+            await fixture.gateway.answer(request(number))
+        reached = len(fixture.replicas.arrivals)
+        began = asyncio.get_running_loop().time()
+        answer = await fixture.gateway.answer(request(9))
+        assert isinstance(answer, Refusal)
+        self.assertIs(answer.ran, Ran.NO)
+        self.assertGreater(answer.retry_after, 4.0)
+        self.assertEqual(asyncio.get_running_loop().time(), began)
+        self.assertEqual(len(fixture.replicas.arrivals), reached)
+
+    @virtual_time
+    async def test_a_replica_is_asked_again_by_one_request_first(self) -> None:
+        fixture = GatewayFixture(one_service(attempts=1))
+        model = fixture.add("s", 1, ReplicaModel(0.3, reply=shed_reply))
+        model.retry_after = 2.0
+        await fixture.gateway.answer(request(0))
+        await asyncio.sleep(2.5)
+        tasks = [
+            asyncio.create_task(fixture.gateway.answer(request(number, seconds=9.0)))
+            for number in range(1, 5)
+        ]
+        await asyncio.sleep(0.2)
+        self.assertEqual(fixture.reached("s/1"), 2)
+        for task in tasks:
+            task.cancel()
+
+    @virtual_time
+    async def test_a_pause_is_logged_and_other_statuses_name_none(self) -> None:
+        for reply, paused in ((shed_reply, 1), (limited_reply, 0), (error_reply, 0)):
+            fixture = GatewayFixture(one_service(attempts=1))
+            fixture.add("s", 1, ReplicaModel(reply=reply)).retry_after = 3.0
+            await fixture.gateway.answer(request(1))
+            self.assertEqual(len(fixture.journal.of(ReplicaPaused)), paused)
+            fixture.registry.close()
+
+    @virtual_time
+    async def test_a_very_long_pause_is_tried_again_after_some_minutes(self) -> None:
+        fixture = GatewayFixture(one_service(attempts=1))
+        fixture.add("s", 1, ReplicaModel(reply=shed_reply)).retry_after = 1e12
+        for number in range(2000):
+            await fixture.gateway.answer(request(number))
+            await asyncio.sleep(1.0)
+        self.assertGreater(fixture.reached("s/1"), 1)
+        self.assertLess(fixture.reached("s/1"), 10)
--- a/auburncart/coordination/forwarding/tests/test_choice.py
+++ b/auburncart/coordination/forwarding/tests/test_choice.py
@@ -2,7 +2,8 @@
 import unittest
 
 from auburncart.coordination.forwarding.choice import ShortestWait
-from auburncart.coordination.forwarding.replica import ReplicaConnectionPool, RequestLimits
+from auburncart.coordination.forwarding.replica import ReplicaConnectionPool
+from auburncart.coordination.forwarding.replica_pace import PaceShares
 from auburncart.coordination.forwarding.request_limit import RequestShare
 from auburncart.coordination.forwarding.tests.gateway_fixture import registration
 from auburncart.standins.replicas import FakeReplicaDialer
@@ -13,19 +14,27 @@
 REMOTE_SECONDS = 0.056  # one of another region, with 40 ms on the way
 
 
-class NoLimits(RequestLimits):
+class NoLimits(PaceShares):
     """Replicas without limits."""
 
     def share(self, replica: Registration, limit: float) -> RequestShare:
         raise NotImplementedError
 
-    def record(self, replica: Registration, before: float, limit: float) -> None:
+    def record_limit(self, replica: Registration, before: float, limit: float) -> None:
+        raise NotImplementedError
+
+    def record_pause(self, replica: Registration, seconds: float) -> None:
         raise NotImplementedError
 
 
 def pool(number: int, distance: int) -> ReplicaConnectionPool:
     return ReplicaConnectionPool(
-        registration("s", number), distance, FakeReplicaDialer(), lambda: 4, NoLimits()
+        registration("s", number),
+        distance,
+        FakeReplicaDialer(),
+        lambda: 4,
+        NoLimits(),
+        lambda pool: None,
     )
 
 
--- a/auburncart/coordination/forwarding/tests/test_request_limit.py
+++ b/auburncart/coordination/forwarding/tests/test_request_limit.py
@@ -19,11 +19,23 @@
     search,
 )
 from auburncart.coordination.forwarding.tests.tier_fixture import Tier
-from auburncart.standins.replicas import Arrival, FakeReplicaDialer, ReplicaModel, shed_reply
+from auburncart.standins.replicas import (
+    Arrival,
+    FakeReplicaDialer,
+    ReplicaModel,
+    ok_reply,
+    shed_reply,
+)
 from auburncart.state.configuration import Route
 from auburncart.state.event import LimitChanged
 from auburncart.state.failure import Ran, Refusal
-from auburncart.state.forward import ForwardAnswer, ForwardedReply, MergedAnswer, Reply
+from auburncart.state.forward import (
+    Announcement,
+    ForwardAnswer,
+    ForwardedReply,
+    MergedAnswer,
+    Reply,
+)
 from auburncart.state.registration import Registration
 from auburncart.tests.virtual import virtual_time
 
@@ -228,7 +240,7 @@
         fixture = GatewayFixture(one_service())
         fixture.add("s", 1, ReplicaModel()).request_limit = 1.0
         pool = next(iter(fixture.registry.pools))
-        pool.record_limit(1.0)
+        pool.record_announcement(ok_reply(request())._replace(announced=Announcement(1.0)))
         sent = []
         for number, priority in enumerate((2, 2, 0, 1)):
             attempt = Attempt(request(number), priority, False, False, sent.append)
@@ -241,7 +253,7 @@
         fixture = GatewayFixture(one_service(), 0.5)
         fixture.add("s", 1, ReplicaModel()).request_limit = 1.0
         pool = next(iter(fixture.registry.pools))
-        pool.record_limit(1.0)
+        pool.record_announcement(ok_reply(request())._replace(announced=Announcement(1.0)))
         for number in range(5):
             pool.submit(Attempt(request(number), 0, False, False, lambda result: None))
         await asyncio.sleep(20.0)
--- a/auburncart/platform/messages.py
+++ b/auburncart/platform/messages.py
@@ -1,11 +1,13 @@
 """HTTP headers of the platform's requests and replies."""
 
+import math
 import re
 
 from auburncart.exception import InputError, ProtocolError
 from auburncart.protocol.forward import CallerCodec, ReplicaCodec, RequestHead, WireReply
 from auburncart.state.failure import Ran, Refusal, RefusalCode
 from auburncart.state.forward import (
+    Announcement,
     ForwardAnswer,
     ForwardedReply,
     ForwardRequest,
@@ -21,7 +23,9 @@
 TARGET_INSTANCE_HEADER = b"x-target-instance"
 STAMP_HEADER = b"x-server-stamp"
 NOT_RUN_HEADER = b"x-not-executed"
+LEAVING_HEADER = b"server-leaving"
 LIMIT_HEADER = b"server-limit"  # requests per second, from all machines together
+RETRY_AFTER_HEADER = b"retry-after"  # seconds; of a replica, for this VM
 REPLY_INSTANCE_HEADER = b"x-instance-id"
 # Of two values, either may be that of another reply.
 SINGLE_REPLY_HEADERS = (REQUEST_ID_HEADER, STAMP_HEADER, NOT_RUN_HEADER)
@@ -45,6 +49,7 @@
 )
 MISDIRECTED_STATUS = 421  # the address belongs to another replica, which has not run the request
 DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")
+PAUSE_STATUSES = (503,)
 STATUS_BY_CODE = {
     RefusalCode.BAD_REQUEST: 400,
     RefusalCode.NO_ROUTE: 404,
@@ -152,9 +157,7 @@
             reply.status == MISDIRECTED_STATUS,
             value_by_name.get(REPLY_INSTANCE_HEADER, b"").decode("latin-1"),
             echoed is not None,
-            _request_limit(
-                [value for name, value in reply.headers if name.lower() == LIMIT_HEADER]
-            ),
+            _announcement(reply),
         )
 
 
@@ -168,14 +171,27 @@
     return WireReply(status, b"", headers, b"")
 
 
-def _request_limit(values: list[bytes]) -> float:
-    """Return the least limit that a replica names, NaN if one is not a positive number."""
-    limits = [
-        float(value) if DECIMAL.fullmatch(value.strip()) else float("nan") for value in values
-    ]
-    if any(limit != limit for limit in limits):
-        return float("nan")
-    return min(limits, default=float("inf"))
+def _announcement(reply: WireReply) -> Announcement:
+    """Return what a replica says about itself: the least limit, the longest pause that it names.
+
+    A limit that is no decimal number makes the limit NaN; a pause that is none does not count.
+    """
+    limits = _numbers(reply, LIMIT_HEADER)
+    pauses = [value for value in _numbers(reply, RETRY_AFTER_HEADER) if not math.isnan(value)]
+    leaving = any(
+        name.lower() == LEAVING_HEADER and value.strip() == b"1" for name, value in reply.headers
+    )
+    return Announcement(
+        math.nan if any(map(math.isnan, limits)) else min(limits, default=math.inf),
+        max(pauses, default=0.0) if reply.status in PAUSE_STATUSES else 0.0,
+        leaving,
+    )
+
+
+def _numbers(reply: WireReply, name: bytes) -> list[float]:
+    """Return the values of a header, NaN for one that is no decimal number."""
+    values = [value.strip() for key, value in reply.headers if key.lower() == name]
+    return [float(value) if DECIMAL.fullmatch(value) else math.nan for value in values]
 
 
 def _single_value(values_by_name: dict[bytes, list[bytes]], name: bytes) -> bytes:
--- a/auburncart/platform/tests/test_messages.py
+++ b/auburncart/platform/tests/test_messages.py
@@ -27,7 +27,7 @@
 def limit_of(values: tuple[bytes, ...]) -> float:
     headers = tuple((b"Server-Limit", value) for value in values)
     reply = WireReply(200, b"OK", headers, b"")
-    return PlatformReplicaCodec().decode_reply(reply, request()).request_limit
+    return PlatformReplicaCodec().decode_reply(reply, request()).announced.request_limit
 
 
 class CallerTest(unittest.TestCase):
@@ -62,6 +62,23 @@
         for given in (b"-1", b"1e9", b"nan", b"inf", b"", b"9" * 400, b"1,5", b"1_0"):
             self.assertTrue(math.isnan(limit_of((given,))), given)
 
+    def test_a_rejection_names_a_pause_in_decimal_seconds(self) -> None:
+        cases = {
+            (503, (b"2",)): 2.0,
+            (503, (b"0.25",)): 0.25,
+            (503, (b"1", b"3")): 3.0,
+            (503, ()): 0.0,
+            (503, (b"-1",)): 0.0,
+            (503, (b"Wed, 21 Oct 2026 07:28:00 GMT",)): 0.0,
+            (503, (b"nan",)): 0.0,
+            (200, (b"2",)): 0.0,
+        }
+        for (status, values), pause in cases.items():
+            headers = tuple((b"Retry-After", value) for value in values)
+            reply = WireReply(status, b"", headers, b"")
+            decoded = PlatformReplicaCodec().decode_reply(reply, request())
+            self.assertEqual(decoded.announced.retry_after, pause)
+
     def test_a_reply_with_two_ids_or_two_stamps_is_an_error(self) -> None:
         decoded = request()
         for name in (b"X-Attempt-Id", b"X-Server-Stamp", b"X-Not-Executed"):
--- a/auburncart/standins/replicas.py
+++ b/auburncart/standins/replicas.py
@@ -6,7 +6,7 @@
 
 from auburncart.coordination.forwarding.interfaces import ReplicaConnection, ReplicaDialer
 from auburncart.exception import UpstreamError
-from auburncart.state.forward import ForwardRequest, Reply
+from auburncart.state.forward import Announcement, ForwardRequest, Reply
 from auburncart.state.registration import Registration
 
 __all__ = [
@@ -37,7 +37,8 @@
 
     ``in_flight`` counts the requests that it executes now, ``executed`` those it has executed,
     ``connections`` the open connections; it resets those beyond ``max_connections``. Its replies
-    name ``request_limit``.
+    name ``request_limit`` and say whether it is ``leaving``; those with status 503 name
+    ``retry_after``.
 
     :param service_seconds: time of one request.
     :param reply: returns the reply to a request, or None to reset the connection instead.
@@ -53,6 +54,8 @@
         self.reachable = True
         self.max_connections = 1000
         self.request_limit = float("inf")
+        self.retry_after = 0.0
+        self.leaving = False
         self.connections = 0
         self.in_flight = 0
         self.executed = 0
@@ -62,6 +65,11 @@
         """Return the seconds that a request takes."""
         return self.service_seconds
 
+    def announcement(self, reply: Reply) -> Announcement:
+        """Return what the replica says about itself in a reply."""
+        retry_after = self.retry_after if reply.status == 503 else 0.0
+        return Announcement(self.request_limit, retry_after, self.leaving)
+
     def crash(self) -> None:
         """Lose all connections and accept no more."""
         self.reachable = False
@@ -150,7 +158,7 @@
             self.close()
             raise UpstreamError("reset", step="reply", peer=self._registration.address)
         self._model.executed += not reply.not_run
-        return reply._replace(request_limit=self._model.request_limit)
+        return reply._replace(announced=self._model.announcement(reply))
 
     def close(self) -> None:
         """Close the connection."""
--- a/auburncart/state/event.py
+++ b/auburncart/state/event.py
@@ -22,6 +22,7 @@
     "MergedForPeer",
     "ReadinessChanged",
     "Refused",
+    "ReplicaPaused",
     "ReplicasChanged",
     "Reloaded",
     "Retried",
@@ -173,6 +174,14 @@
     before: float
 
 
+class ReplicaPaused(NamedTuple):
+    """A replica wants no requests from this VM for some time."""
+
+    instance: str
+    service: str
+    seconds: float
+
+
 class EntryUnreadable(NamedTuple):
     """An object of the store could not be decoded and is ignored."""
 
@@ -283,6 +292,7 @@
     | Refused
     | Left
     | ConfigurationInForce
+    | ReplicaPaused
     | ReplicasChanged
     | LimitChanged
     | EntryUnreadable
--- a/auburncart/state/forward.py
+++ b/auburncart/state/forward.py
@@ -5,6 +5,7 @@
 from auburncart.state.failure import Failure, Refusal
 
 __all__ = [
+    "Announcement",
     "ForwardAnswer",
     "ForwardedReply",
     "ForwardRequest",
@@ -53,6 +54,20 @@
     max_reply_bytes: int = MAX_REPLY_BYTES
 
 
+class Announcement(NamedTuple):
+    """What a replica says about itself in a reply.
+
+    :param request_limit: requests per second that it accepts from all VMs together, infinity if
+        it names no limit, NaN if what it names is no number.
+    :param retry_after: seconds for which it wants no requests from this VM.
+    :param leaving: whether it is about to end.
+    """
+
+    request_limit: float = float("inf")
+    retry_after: float = 0.0
+    leaving: bool = False
+
+
 class Reply(NamedTuple):
     """A complete reply of a replica.
 
@@ -65,8 +80,7 @@
     :param moved: whether the address now belongs to another replica than the intended one.
     :param instance: identifier of that replica, ``""`` if it is not given.
     :param names_request: whether the reply names the request that it answers.
-    :param request_limit: requests per second that the replica accepts from all VMs together,
-        infinity if it names no limit, NaN if what it names is no number.
+    :param announced: what the replica says about itself.
     """
 
     status: int
@@ -78,7 +92,7 @@
     moved: bool = False
     instance: str = ""
     names_request: bool = False
-    request_limit: float = float("inf")
+    announced: Announcement = Announcement()
 
     @property
     def succeeded(self) -> bool:
