A replica that says that it leaves gets no more requests

Cause: only the store's list and the address told that a replica leaves; Server-Leaving was not read.

--- a/auburncart/coordination/forwarding/replica.py
+++ b/auburncart/coordination/forwarding/replica.py
@@ -288,6 +288,7 @@
         self._pace.announce(self.registration, announced, _now(), ran=not reply.not_run)
         if announced.leaving and not self._leaving:
             self._leaving = True
+            self._on_leaving(self)
         if was_active:
             for _ in range(len(self._queue)):
                 self._dispatch()
--- a/auburncart/coordination/forwarding/tests/test_announcements.py
+++ b/auburncart/coordination/forwarding/tests/test_announcements.py
@@ -6,13 +6,14 @@
 from auburncart.coordination.forwarding.tests.gateway_fixture import (
     GatewayFixture,
     one_service,
+    registration,
     request,
     search,
 )
-from auburncart.standins.replicas import ReplicaModel, shed_reply
-from auburncart.state.event import ReplicaPaused
+from auburncart.standins.replicas import ReplicaModel, misdirected_reply, ok_reply, shed_reply
+from auburncart.state.event import ReplicaPaused, ReplicasChanged
 from auburncart.state.failure import Ran, Refusal
-from auburncart.state.forward import ForwardRequest, Reply
+from auburncart.state.forward import ForwardedReply, ForwardRequest, MergedAnswer, Reply
 from auburncart.tests.virtual import virtual_time
 
 TOLD_SECONDS = 0.5  # after a reply, until the requests that it excludes count
@@ -101,3 +102,86 @@
             await asyncio.sleep(1.0)
         self.assertGreater(fixture.reached("s/1"), 1)
         self.assertLess(fixture.reached("s/1"), 10)
+
+
+class LeavingTest(unittest.TestCase):
+    def _fixture(self) -> GatewayFixture:
+        """Return a VM with a replica that says that it leaves, and another one."""
+        fixture = GatewayFixture(one_service())
+        self.model = fixture.add("s", 1)
+        self.model.leaving = True
+        return fixture
+
+    @virtual_time
+    async def test_a_replica_that_leaves_gets_no_more_requests(self) -> None:
+        replies = (ok_reply, error_reply, shed_reply, limited_reply)
+        for reply in replies:
+            fixture = self._fixture()
+            self.model.reply = reply
+            fixture.add("s", 2)
+            for number in range(50):
+                await fixture.gateway.answer(request(number))
+                await asyncio.sleep(0.1)
+            self.assertLessEqual(fixture.reached("s/1"), 1)
+            changes = [event.change for event in fixture.journal.of(ReplicasChanged)]
+            self.assertEqual(changes.count("leaving"), fixture.reached("s/1"))
+            fixture.registry.close()
+
+    @virtual_time
+    async def test_a_shard_whose_only_replica_leaves_is_left_out(self) -> None:
+        fixture = GatewayFixture(search(10))
+        for number, shard in enumerate(search(10).shards):
+            part = Reply(200, b"OK", (), b"r" * 16, shard.encode())
+            fixture.add(shard, 1, ReplicaModel(reply=lambda asked, part=part: part))
+            fixture.replicas.models[f"{shard}/1"].leaving = number < 2
+        first = await fixture.gateway.answer(request(1))
+        second = await fixture.gateway.answer(request(2))
+        assert isinstance(first, MergedAnswer) and isinstance(second, MergedAnswer)
+        self.assertEqual((first.missing, second.missing), (0, 2))
+
+    @virtual_time
+    async def test_a_leaving_replica_that_is_listed_again_stays_unused(self) -> None:
+        fixture = self._fixture()
+        await fixture.gateway.answer(request(1))
+        fixture.registry.remove("s/1")
+        fixture.registry.install(registration("s", 1))
+        self.assertIsInstance(await fixture.gateway.answer(request(2)), Refusal)
+        self.assertEqual(fixture.reached("s/1"), 1)
+
+    @virtual_time
+    async def test_a_replica_that_starts_again_is_used_again(self) -> None:
+        fixture = self._fixture()
+        await fixture.gateway.answer(request(1))
+        self.model.leaving = False
+        fixture.registry.install(registration("s", 1)._replace(started_at_ms=5))
+        self.assertIsInstance(await fixture.gateway.answer(request(2)), ForwardedReply)
+
+    @virtual_time
+    async def test_the_next_owner_of_a_leaving_replicas_address_is_used(self) -> None:
+        fixture = self._fixture()
+        await fixture.gateway.answer(request(1))
+        fixture.replicas.add("s/9")
+        fixture.registry.remove("s/1")
+        fixture.registry.install(registration("s", 1)._replace(instance="s/9"))
+        self.assertIsInstance(await fixture.gateway.answer(request(2)), ForwardedReply)
+        self.assertEqual(fixture.reached("s/9"), 1)
+
+    @virtual_time
+    async def test_another_replica_at_the_address_does_not_speak_for_the_one_meant(self) -> None:
+        fixture = GatewayFixture(one_service())
+        fixture.add("s", 1, ReplicaModel(reply=misdirected_reply)).leaving = True
+        await fixture.gateway.answer(request(1))
+        changes = [event.change for event in fixture.journal.of(ReplicasChanged)]
+        self.assertNotIn("leaving", changes)
+
+    @virtual_time
+    async def test_requests_in_flight_and_queued_are_served_when_a_replica_leaves(self) -> None:
+        fixture = GatewayFixture(one_service(), 2.0)
+        model = fixture.add("s", 1, ReplicaModel(0.2))
+        fixture.add("s", 2, ReplicaModel(0.2))
+        tasks = [asyncio.create_task(fixture.gateway.answer(request(n))) for n in range(8)]
+        await asyncio.sleep(0.1)
+        model.leaving = True
+        answers = await asyncio.gather(*tasks)
+        self.assertTrue(all(isinstance(answer, ForwardedReply) for answer in answers))
+        self.assertLessEqual(fixture.reached("s/1"), 2)
--- a/auburncart/platform/tests/test_messages.py
+++ b/auburncart/platform/tests/test_messages.py
@@ -79,6 +79,12 @@
             decoded = PlatformReplicaCodec().decode_reply(reply, request())
             self.assertEqual(decoded.announced.retry_after, pause)
 
+    def test_a_replica_says_that_it_leaves_with_one(self) -> None:
+        for value, leaving in ((b"1", True), (b" 1 ", True), (b"0", False), (b"yes", False)):
+            reply = WireReply(200, b"OK", ((b"Server-Leaving", value),), b"")
+            decoded = PlatformReplicaCodec().decode_reply(reply, request())
+            self.assertIs(decoded.announced.leaving, leaving)
+
     def test_a_reply_with_two_ids_or_two_stamps_is_an_error(self) -> None:
         decoded = request()
         for name in (b"X-Attempt-Id", b"X-Server-Stamp", b"X-Not-Executed"):
