Delays of replicas are looked at only while one announces something

Cause: each pick of a replica counted the requests queued before it, and each search asked all its shards for delays, though no replica named a limit. Change: a replica's pace is asked only while it is active.

--- a/auburncart/coordination/forwarding/replica.py
+++ b/auburncart/coordination/forwarding/replica.py
@@ -188,6 +188,11 @@
         """Requests per second that the replica accepts from all VMs, infinity without a limit."""
         return self._pace.request_limit
 
+    @property
+    def paced(self) -> bool:
+        """Whether the replica may let requests wait."""
+        return self._pace.active
+
     @property
     def leaving(self) -> bool:
         """Whether the replica has said that it is about to end."""
@@ -298,6 +303,8 @@
 
         :param priority: its rank, 0 the most urgent.
         """
+        if not self._pace.active:
+            return 0.0
         ahead = sum(queued <= priority for queued, _, _ in self._queue)
         return self._pace.delay(self.registration, priority, ahead, len(self._in_flight), _now())
 
@@ -320,6 +327,8 @@
 
     def _head_delay(self) -> float:
         """Return the seconds until the first queued request may be sent."""
+        if not self._pace.active:
+            return 0.0
         priority = self._queue[0][0]
         return self._pace.delay(self.registration, priority, 0, len(self._in_flight), _now())
 
--- a/auburncart/coordination/forwarding/replica_registry.py
+++ b/auburncart/coordination/forwarding/replica_registry.py
@@ -81,6 +81,11 @@
         """Return the replicas of a service to which new requests may be sent."""
         return [pool for pool in self._services.get(service, ()) if pool.usable]
 
+    @property
+    def paced(self) -> bool:
+        """Whether any replica may let requests wait."""
+        return any(pool.paced for pool in self._pools.values())
+
     def send_delay(self, service: str, priority: int) -> float:
         """Return the seconds until a replica of a service takes one more request."""
         delays = (pool.send_delay(priority) for pool in self.candidates(service))
--- a/auburncart/coordination/forwarding/request_limit.py
+++ b/auburncart/coordination/forwarding/request_limit.py
@@ -57,7 +57,7 @@
         part = FAVOURED_SHARE if own in favoured else 1.0 - FAVOURED_SHARE
     group = favoured if own in favoured else others
     burst = part * (BURST_SECONDS * limit + BURST_REQUESTS)
-    members = min(len(group), math.floor(burst))
+    members = max(1, min(len(group), math.floor(burst)))
     if members < len(group) and own not in rendezvous_select(replica, group, members):
         return RequestShare(0.0, 0.0)
     return RequestShare(part * USED_SHARE * limit / members, burst / members)
--- a/auburncart/coordination/forwarding/scatter_gather.py
+++ b/auburncart/coordination/forwarding/scatter_gather.py
@@ -106,6 +106,8 @@
     def _send_delay(self) -> float:
         """Return the seconds until the limits of replicas admit enough parts, 0 if they do now."""
         search, registry = self._search, self._context.registry
+        if not registry.paced:
+            return 0.0
         patience = 0.5 * (search.deliver_at - asyncio.get_running_loop().time())
         delays = sorted(registry.send_delay(shard, search.priority) for shard in search.shards)
         delay = delays[self._needed_parts - 1]
