Announced numbers may have any number of decimals

What callers would see: a pause or limit of a replica is ignored, and the replica gets requests it has refused beforehand. Cause: the pattern of a decimal number allowed twelve decimals; longer values counted as malformed. Change: the pattern.

--- a/auburncart/platform/messages.py
+++ b/auburncart/platform/messages.py
@@ -48,7 +48,7 @@
     )
 )
 MISDIRECTED_STATUS = 421  # the address belongs to another replica, which has not run the request
-DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")
+DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]*)?|\.[0-9]+")
 PAUSE_STATUSES = (503,)
 STATUS_BY_CODE = {
     RefusalCode.BAD_REQUEST: 400,
--- a/auburncart/platform/tests/test_messages.py
+++ b/auburncart/platform/tests/test_messages.py
@@ -55,6 +55,8 @@
             (b"12.5",): 12.5,
             (b" 3 ",): 3.0,
             (b"0",): 0.0,
+            (b".5",): 0.5,
+            (b"2.0361834912773846",): 2.0361834912773846,
             (b"4", b"2"): 2.0,
         }
         for given, limit in values.items():
