Quarantine: no empty sets of checks, no retry after the time is over, errors are answers

Cause: read in the diff. A loss that was dismissed for too many checks left an empty set behind; a retry that waited for checks could be sent after the request's time; a replica's 500 shows that it ran the request and did not crash; the report looked its history up after it might have gone. Change: each of these.

--- a/auburncart/coordination/forwarding/attempts.py
+++ b/auburncart/coordination/forwarding/attempts.py
@@ -270,6 +270,7 @@
             reason = f"status {reply.status}, not run"
             return Failure(Step.REPLY, address, reason, FailureCode.SHED, True)
         self._last_reply = reply
+        self._context.quarantine.record_answer(self._request)
         attempt.pool.record_failure()
         return Failure(Step.REPLY, address, f"status {reply.status}", FailureCode.REFUSED, True)
 
@@ -281,6 +282,8 @@
             return
         if failure.code is FailureCode.LOST:
             await self._context.quarantine.settle(self._request)
+            if asyncio.get_running_loop().time() >= self._policy.until:
+                return
         # An attempt that reached no replica adds no load, so replacing it needs no budget.
         pool = None
         if self._context.quarantine.retry_delay(self._request) == 0.0:
--- a/auburncart/coordination/forwarding/quarantine.py
+++ b/auburncart/coordination/forwarding/quarantine.py
@@ -93,10 +93,11 @@
         :param silent: whether it did not reply instead.
         """
         digest = digest_of(request)
-        checks = self._checks.setdefault(digest, set())
-        if len(checks) >= MAX_CHECKS or sum(map(len, self._checks.values())) >= MAX_ALL_CHECKS:
+        all_checks = sum(map(len, self._checks.values()))
+        if len(self._checks.get(digest, ())) >= MAX_CHECKS or all_checks >= MAX_ALL_CHECKS:
             self._dismiss(request, pool, "too many other replicas are being checked")
             return
+        checks = self._checks.setdefault(digest, set())
         task = _start_task(self._confirm(digest, request, pool, silent), checks)
         task.add_done_callback(lambda _: checks or self._checks.pop(digest, None))
 
@@ -159,7 +160,8 @@
         event = CrashConfirmed(request.request_id, digest, replica.address, crashes)
         self._journal.record(event)
         if len(self._reporting) < MAX_REPORTS and crashes <= MAX_REPORTED_CRASHES:
-            _start_task(self._report(name, report, request), self._reporting)
+            delay = ANSWER_SECONDS if crashes > 1 else 0.0
+            _start_task(self._report(name, report, request, delay), self._reporting)
 
     def _count(self, name: str, report: CrashReport) -> None:
         self._histories.setdefault(report.digest, CrashHistory()).add(name, report, _now())
@@ -169,12 +171,17 @@
         event = CrashDismissed(request.request_id, digest_of(request), replica, reason)
         self._journal.record(event)
 
-    async def _report(self, name: str, report: CrashReport, request: ForwardRequest) -> None:
-        """Report a crash to the other VMs for as long as the quarantine lasts."""
+    async def _report(
+        self, name: str, report: CrashReport, request: ForwardRequest, delay: float
+    ) -> None:
+        """Report a crash to the other VMs for as long as the quarantine lasts.
+
+        :param delay: seconds to wait for an answer of another replica; then the crash does not
+            count beside the first one of the same attempt.
+        """
         until = _now() + REFUSAL_SECONDS
-        if self._histories[report.digest].count(_now()) > 1:
-            # A further crash in an attempt that another replica answers does not count.
-            await asyncio.sleep(ANSWER_SECONDS)
+        if delay:
+            await asyncio.sleep(delay)
             if request.request_id in self._answered:
                 return
         await self._retry(lambda: self._store.put(CRASHES, name, report._asdict()), until)
