--- a/auburncart/coordination/forwarding/gateway.py
+++ b/auburncart/coordination/forwarding/gateway.py
@@ -36,7 +36,7 @@
 SHARD_MARGIN_SECONDS = 0.0001  # for each shard, to merge its part and end its task
 CONNECT_MARGIN_SECONDS = 0.008  # if the caller has just opened its connection
 DEADLINE_MARGIN_SECONDS = 0.02  # before a caller's deadline, so that the answer arrives in time
-# That must be left when a request comes that must not be repeated, before this VM ends.
+# Before a leaving VM ends, for a request that must not be repeated; with less it is refused.
 MIN_LATENCY_TARGETS_LEFT = 2.0
 RETRY_AFTER_SECONDS = 0.25  # about as long as a replica stays ejected
 
--- a/auburncart/coordination/forwarding/request_limit.py
+++ b/auburncart/coordination/forwarding/request_limit.py
@@ -30,7 +30,7 @@
     rate: float
     burst: float
 
-    def of(self, vms: int) -> "RequestShare":
+    def divided(self, vms: int) -> "RequestShare":
         """Return the part of one of several VMs that are not known by name."""
         return RequestShare(self.rate / vms, max(1.0, self.burst / vms))
 
--- a/auburncart/coordination/forwarding/scatter_gather.py
+++ b/auburncart/coordination/forwarding/scatter_gather.py
@@ -30,11 +30,11 @@
 
 
 def limited_retry_after(delay: float) -> float:
-    """Return when a caller may return that the limits of replicas exclude, in seconds.
+    """Return the Retry-After of a request that no replica takes in time, in seconds.
 
     Random, so that callers that were refused together return one after the other.
 
-    :param delay: seconds until the limits admit one more request.
+    :param delay: seconds until a replica takes one more request.
     """
     delay = min(max(delay, MIN_LIMITED_RETRY_SECONDS), MAX_LIMITED_RETRY_SECONDS)
     return delay * random.uniform(1.0, 2.0)
@@ -104,7 +104,7 @@
         return self._answer()
 
     def _send_delay(self) -> float:
-        """Return the seconds until the limits of replicas admit enough parts, 0 if they do now."""
+        """Return the seconds until replicas of enough shards take the search, 0 if soon enough."""
         search, registry = self._search, self._context.registry
         if not registry.paced:
             return 0.0
--- a/auburncart/coordination/forwarding/share.py
+++ b/auburncart/coordination/forwarding/share.py
@@ -91,9 +91,9 @@
         members = self._roster.members
         vms = self._roster.vm_count
         if vms > len(members):
-            return request_share(limit, self._own.name, (), [self._own.name], replica.instance).of(
-                vms
-            )
+            return request_share(
+                limit, self._own.name, (), [self._own.name], replica.instance
+            ).divided(vms)
         favoured = self._favoured_vms(replica.service)
         names = [vm.name for vm in members]
         return request_share(
