--- a/auburncart/daemon/tests/soak/replica.py
+++ b/auburncart/daemon/tests/soak/replica.py
@@ -93,9 +93,14 @@
         self._slots = asyncio.Semaphore(SLOTS)
         self._waiting = 0
         self._limited = False
+        self._starting = asyncio.Lock()
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, *split_address(self._address))
+        """Listen, unless another fault has already started the replica again."""
+        async with self._starting:
+            if self._server is None or not self._server.is_serving():
+                address = split_address(self._address)
+                self._server = await asyncio.start_server(self._serve, *address)
 
     def stop(self) -> None:
         """Stop immediately, as in a crash."""
