--- a/auburncart/daemon/tests/test_soak.py
+++ b/auburncart/daemon/tests/test_soak.py
@@ -215,6 +215,7 @@
             at = 10.0 + 0.02 * number
             recorded.add_arrival("f1", at=at)
             recorded.history.announced.append(Announced(at, "q1", "f1/1", limit=1.0))
+        recorded.exchange.ended_at = 20.0
         return recorded
 
     def pause_ignored(self) -> RecordedRequest:
