--- a/auburncart/daemon/tests/soak/environment.py
+++ b/auburncart/daemon/tests/soak/environment.py
@@ -94,7 +94,7 @@
             task.cancel()
         await asyncio.gather(*(vm.close() for vm in self.vms))
         for replica, _ in self.replicas.values():
-            replica.stop()
+            replica.end()
             replica.proxy.stop()
         self.store.stop()
 
@@ -135,7 +135,7 @@
         self.history.drained[instance] = self.time()
         await asyncio.sleep(DRAIN_SECONDS + DRAINED_LIFE_SECONDS)
         self.store.remove("servers", instance)
-        old.stop()
+        old.end()
         old.proxy.reset()
         await asyncio.sleep(ADDRESS_REUSE_SECONDS)
         service = self.rng.choice([*ONCE, *FETCH])
@@ -171,8 +171,9 @@
         old.faults = old.faults._replace(leaving=True)
         await asyncio.sleep(DRAIN_SECONDS + DRAINED_LIFE_SECONDS)
         self.store.remove("servers", instance)
-        old.stop()
+        old.end()
         old.proxy.reset()
+        old.proxy.stop()
 
     async def send_poison(self, times: int, gap: float, route: str = "fetch") -> None:
         """Send a request that crashes replicas repeatedly."""
--- a/auburncart/daemon/tests/soak/replica.py
+++ b/auburncart/daemon/tests/soak/replica.py
@@ -94,11 +94,13 @@
         self._waiting = 0
         self._limited = False
         self._starting = asyncio.Lock()
+        self._ended = False
 
     async def start(self) -> None:
         """Listen, unless another fault has already started the replica again."""
         async with self._starting:
-            if self._server is None or not self._server.is_serving():
+            serving = self._server is not None and self._server.is_serving()
+            if not serving and not self._ended:
                 address = split_address(self._address)
                 self._server = await asyncio.start_server(self._serve, *address)
 
@@ -109,6 +111,11 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def end(self) -> None:
+        """Stop for good; a start that a crash has scheduled does nothing."""
+        self._ended = True
+        self.stop()
+
     def entry(self, data_centre: str, state: str = "ready") -> dict[str, object]:
         """Return its entry for the store."""
         return {
