--- a/review/standins/caller.py
+++ b/review/standins/caller.py
@@ -9,7 +9,7 @@
 from review.standins.vm import Vm
 from review.standins.wire import Message, Record, read_message
 
-__all__ = ["HOST", "Answer", "Caller", "configuration", "hosts", "route"]
+__all__ = ["HOST", "Answer", "Caller", "configuration", "hosts", "route", "search_route"]
 
 HOST = "pupu76.example"
 
@@ -106,12 +106,17 @@
     return (f"127.{1 + high % 250}.{low}.{number}" for number in itertools.count(2))
 
 
-def route(name: str, service: str | tuple[str, ...], **fields: Any) -> dict[str, Any]:
-    """Return a route of the configuration to one service, or to several with equal weights."""
-    if isinstance(service, str):
-        fields["service"] = service
-    else:
-        fields["targets"] = [{"service": part, "weight": 1} for part in service]
+def route(name: str, service: str, **fields: Any) -> dict[str, Any]:
+    """Return a route of the configuration to one service."""
+    return _route(name, service=service, **fields)
+
+
+def search_route(name: str, shards: tuple[str, ...]) -> dict[str, Any]:
+    """Return a route of the configuration to all shards."""
+    return _route(name, gather=list(shards), topK=20, minShare=0.89)
+
+
+def _route(name: str, **fields: Any) -> dict[str, Any]:
     return {
         "name": name, "host": HOST, "pathPrefix": f"/{name}/", "kind": "idempotent",
         "timeoutMs": 3000, "sloMs": 300, "priority": 1, "maxAttempts": 2, **fields,
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -9,11 +9,12 @@
 
 from review.standins.wire import Message, encode_reply, read_message
 
-__all__ = ["HISTORY_SECONDS", "RawValue", "Store"]
+__all__ = ["HISTORY_SECONDS", "VALUE_BYTES", "RawValue", "Store", "size_of"]
 
 FIRST_REVISION = 10
 PAGE_ITEMS = 500
 PAGE_BYTES = 1_000_000
+VALUE_BYTES = 1_048_576
 HISTORY_SECONDS = 20.0
 
 
@@ -184,6 +185,11 @@
                 continue
 
 
+def size_of(spec: Any) -> int:
+    """Return the size of what an object holds, in bytes."""
+    return len(_encode(spec))
+
+
 def _encode(body: Any) -> bytes:
     """Return JSON in ASCII, in which raw values are inserted as they are."""
     raw: list[str] = []
--- a/review/standins/vm.py
+++ b/review/standins/vm.py
@@ -53,6 +53,12 @@
         self._killed = False
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def pid(self) -> int:
+        """Identifier of the process, 0 if none runs."""
+        running = self._process is not None and self._process.returncode is None
+        return self._process.pid if running and self._process is not None else 0
+
     async def start(self) -> None:
         """Start the process, and keep it running."""
         self._write_settings(first_start=True)
@@ -73,6 +79,12 @@
             self._killed = True
             self._process.send_signal(signal.SIGKILL)
 
+    def kill_for_memory(self) -> None:
+        """Kill the process because it exceeds its memory, which counts as an end of its own."""
+        if self._process is not None and self._process.returncode is None:
+            self._record.write(self.name, "exceeds its memory and is killed")
+            self._process.send_signal(signal.SIGKILL)
+
     async def stop(self) -> None:
         """Kill the process for good."""
         self._stopping = True
