--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH=target/deps:. exec python3 review/4/case.py
+PYTHONPATH=target/deps:. exec python3 review/5/case.py
