A replica that is found missing twice ends no process

Cause: missing replicas were noted in _expired beside _pools, and install, remove, replace, run and _remove_now changed one or both.

A note without a replica cannot be written, so that there is no second way to this error. The index by service changes in _add and _drop only.

Before: test_a_replica_missing_from_two_lists_after_an_outage_ends_no_task failed with KeyError('s/1'), and the random order of events with KeyError('i-1'). After: 4 passed. The random order for the list of VMs, owners, links and shares passed on the code before and after.

--- a/auburncart/coordination/forwarding/replica_registry.py
+++ b/auburncart/coordination/forwarding/replica_registry.py
@@ -30,6 +30,17 @@
     started_at_ms: int
 
 
+class _Member(NamedTuple):
+    """A replica in the registry.
+
+    :param removed_at: loop time at which it is removed unless its entry returns, None while it is
+        listed.
+    """
+
+    pool: ReplicaConnectionPool
+    removed_at: float | None = None
+
+
 class ReplicaRegistry:
     """Holds a connection pool for each registered replica.
 
@@ -55,9 +66,9 @@
         self._connection_share = connection_share
         self._shares = _TierShares(request_share, journal)
         self._journal = journal
-        self._pools: dict[str, ReplicaConnectionPool] = {}
+        self._members: dict[str, _Member] = {}
+        # Index of the members, changed with them by _add() and _drop() only.
         self._services: dict[str, list[ReplicaConnectionPool]] = {}
-        self._expired: dict[str, float] = {}
         self._leaving: OrderedDict[_Process, None] = OrderedDict()
         self._reregistration_until = 0.0
         self._generation = 0
@@ -70,12 +81,12 @@
     @property
     def size(self) -> int:
         """Number of known replicas."""
-        return len(self._pools)
+        return len(self._members)
 
     @property
     def pools(self) -> Iterable[ReplicaConnectionPool]:
         """Connection pools of all replicas."""
-        return self._pools.values()
+        return (member.pool for member in self._members.values())
 
     def candidates(self, service: str) -> list[ReplicaConnectionPool]:
         """Return the replicas of a service to which new requests may be sent."""
@@ -84,7 +95,7 @@
     @property
     def paced(self) -> bool:
         """Whether any replica may let requests wait."""
-        return any(pool.paced for pool in self._pools.values())
+        return any(pool.paced for pool in self.pools)
 
     def send_delay(self, service: str, priority: int) -> float:
         """Return the seconds until a replica of a service takes one more request."""
@@ -100,43 +111,35 @@
         listed = {entry.instance: entry for entry in registrations}
         for entry in listed.values():
             self.install(entry)
-        for instance in [name for name in self._pools if name not in listed]:
+        for instance in [name for name in self._members if name not in listed]:
             self.remove(instance)
 
     def install(self, entry: Registration) -> None:
         """Add a replica or update its entry."""
-        self._expired.pop(entry.instance, None)
-        pool = self._pools.get(entry.instance)
-        if pool is not None and _same_process(pool.registration, entry):
-            if entry.draining and not pool.registration.draining:
-                self._record(entry, "draining")
-                pool.retire()
-            pool.registration = entry
+        member = self._members.get(entry.instance)
+        if member is None:
+            self._add(entry)
             return
-        if pool is not None:
-            self._remove_now(entry.instance, "restarted")
-        pool = ReplicaConnectionPool(
-            entry,
-            self._distance(entry.data_centre),
-            self._dialer,
-            lambda: self._connection_share(entry.service, entry.data_centre),
-            self._shares,
-            self._retire_leaving,
-        )
-        self._pools[entry.instance] = pool
-        self._services.setdefault(entry.service, []).append(pool)
-        self._record(entry, "draining" if entry.draining else "added")
-        if entry.draining or _process_of(entry) in self._leaving:
+        pool = member.pool
+        if not _same_process(pool.registration, entry):
+            self._drop(entry.instance, "restarted")
+            self._add(entry)
+            return
+        self._members[entry.instance] = _Member(pool)
+        if entry.draining and not pool.registration.draining:
+            self._record(entry, "draining")
             pool.retire()
+        pool.registration = entry
 
     def remove(self, instance: str) -> None:
         """Remove a replica, after a delay if the store has just recovered from an outage."""
-        if instance not in self._pools:
+        member = self._members.get(instance)
+        if member is None:
             return
         if _now() < self._reregistration_until:
-            self._expired[instance] = self._reregistration_until
-            return
-        self._remove_now(instance, "gone")
+            self._members[instance] = member._replace(removed_at=self._reregistration_until)
+        else:
+            self._drop(instance, "gone")
 
     def retire_moved(self, pool: ReplicaConnectionPool, owner: str) -> None:
         """Retire a replica whose address now belongs to another one.
@@ -148,24 +151,21 @@
             pool.retire()
 
     async def run(self) -> None:
-        """Remove expired replicas and close idle connections; runs until cancelled."""
+        """Remove lapsed replicas and close expired connections; runs until cancelled."""
         while True:
             await asyncio.sleep(IDLE_CHECK_SECONDS)
-            now = _now()
-            for instance in [name for name, until in self._expired.items() if now >= until]:
-                del self._expired[instance]
-                self._remove_now(instance, "lapsed")
-            for pool in self._pools.values():
+            self._drop_lapsed()
+            for pool in self.pools:
                 pool.close_expired()
 
     def close_idle(self) -> None:
         """Close all idle connections."""
-        for pool in self._pools.values():
+        for pool in self.pools:
             pool.close_idle()
 
     def close(self) -> None:
         """Close all connections."""
-        for pool in self._pools.values():
+        for pool in self.pools:
             pool.close()
 
     def _retire_leaving(self, pool: ReplicaConnectionPool) -> None:
@@ -177,8 +177,34 @@
             self._record(pool.registration, "leaving")
         pool.retire()
 
-    def _remove_now(self, instance: str, change: str) -> None:
-        pool = self._pools.pop(instance)
+    def _add(self, entry: Registration) -> None:
+        pool = ReplicaConnectionPool(
+            entry,
+            self._distance(entry.data_centre),
+            self._dialer,
+            lambda: self._connection_share(entry.service, entry.data_centre),
+            self._shares,
+            self._retire_leaving,
+        )
+        self._members[entry.instance] = _Member(pool)
+        self._services.setdefault(entry.service, []).append(pool)
+        self._record(entry, "draining" if entry.draining else "added")
+        if entry.draining or _process_of(entry) in self._leaving:
+            pool.retire()
+
+    def _drop_lapsed(self) -> None:
+        """Remove the replicas whose entries have not returned in time."""
+        now = _now()
+        lapsed = [
+            instance
+            for instance, member in self._members.items()
+            if member.removed_at is not None and member.removed_at <= now
+        ]
+        for instance in lapsed:
+            self._drop(instance, "lapsed")
+
+    def _drop(self, instance: str, change: str) -> None:
+        pool = self._members.pop(instance).pool
         self._services[pool.registration.service].remove(pool)
         pool.retire()
         self._record(pool.registration, change)
@@ -186,7 +212,7 @@
     def _record(self, entry: Registration, change: str) -> None:
         self._generation += 1
         event = ReplicasChanged(
-            entry.instance, entry.service, entry.address, change, len(self._pools)
+            entry.instance, entry.service, entry.address, change, len(self._members)
         )
         self._journal.record(event)
 
