explain leads from a request to the watch that was last confirmed

Cause: a lost reply of the store leaves no line until its watch is given up, after the request, and then the line did not say which confirmation was the last. explain showed only what happened during the request, so that a lost reply, a change that was received and not applied, and a version that was not written looked the same.

--- a/auburncart/coordination/forwarding/kinds.py
+++ b/auburncart/coordination/forwarding/kinds.py
@@ -202,7 +202,7 @@
                 # Another VM that is behind may list objects which are known to be deleted.
                 reason = f"{self._kind} listed at revision {revision}, known at {self._newest}"
                 raise StoreUnavailableError(reason, step="list", sent=False)
-            self._end_outage()
+            self._end_outage(revision)
             self._sink.replace(self._report_unreadable(entries))
             self._entries = {entry.name: entry for entry in entries}
             self._history.clear()
@@ -211,8 +211,8 @@
         else:
             wait = self._watch_seconds if self._lost_at is None else 0.0
             changes = await self._store.changes(self._kind, self._revision, wait)
-            self._end_outage()
             revision = changes.revision
+            self._end_outage(revision)
             changed = bool(changes.entries)
             for entry in self._report_unreadable(changes.entries):
                 self._add_to_history(revision, entry)
@@ -256,12 +256,14 @@
     def _record_outage(self, error: AuburncartError) -> None:
         if self._lost_at is None:
             self._lost_at = asyncio.get_running_loop().time()
-            self._journal.record(DependencyLost(f"store {self._kind}", str(error)))
+            age = self._lost_at - self._confirmed_at if self._newest else 0.0
+            event = DependencyLost(f"store {self._kind}", str(error), self._newest, age)
+            self._journal.record(event)
 
-    def _end_outage(self) -> None:
+    def _end_outage(self, revision: int) -> None:
         self._backoff.reset()
         if self._lost_at is not None:
             seconds = asyncio.get_running_loop().time() - self._lost_at
             self._lost_at = None
-            self._journal.record(DependencyRegained(f"store {self._kind}", seconds))
+            self._journal.record(DependencyRegained(f"store {self._kind}", seconds, revision))
             self._sink.store_recovered()
--- a/auburncart/state/event.py
+++ b/auburncart/state/event.py
@@ -191,17 +191,28 @@
 
 
 class DependencyLost(NamedTuple):
-    """The store stopped responding."""
+    """The store stopped responding.
+
+    :param revision: revision of the store up to which a watch was last confirmed, 0 for calls that
+        are no watch.
+    :param age: seconds since that confirmation.
+    """
 
     dependency: str
     reason: str
+    revision: int = 0
+    age: float = 0.0
 
 
 class DependencyRegained(NamedTuple):
-    """The store responds again."""
+    """The store responds again.
+
+    :param revision: revision from which a watch goes on, 0 for calls that are no watch.
+    """
 
     dependency: str
     seconds: float
+    revision: int = 0
 
 
 class CrashConfirmed(NamedTuple):
--- a/auburncart/transport/tests/test_journal.py
+++ b/auburncart/transport/tests/test_journal.py
@@ -7,7 +7,14 @@
 import eliot
 
 from auburncart.command.explain import lines_of
-from auburncart.state.event import Answered, Routed, TryFailed
+from auburncart.state.event import (
+    Answered,
+    ConfigurationInForce,
+    DependencyLost,
+    DependencyRegained,
+    Routed,
+    TryFailed,
+)
 from auburncart.transport.journal import (
     BURST_LINES,
     LINES_PER_SECOND,
@@ -81,6 +88,31 @@
         counted = sum(line.get("TryFailed", 0) for line in drops)
         self.assertEqual(counted, self.journal.dropped_total)
 
+    async def test_explain_shows_the_watch_behind_a_request_by_an_old_version(self) -> None:
+        """A lost reply was only logged once its watch was given up, after the request."""
+        self.journal.record(DependencyRegained("store config", 0.2, 80))
+        self.journal.record(ConfigurationInForce(4, 1, 1, 81))
+        self.journal.record(routed(1))
+        self.journal.record(Answered("id1", "r", "idempotent", 200, 0.1, 0, (), ""))
+        self.journal.record(DependencyLost("store config", "no complete reply in time", 81, 7.0))
+        self.journal.record(DependencyRegained("store config", 0.1, 95))
+        self.journal.record(ConfigurationInForce(7, 4, 1, 94))
+        self.journal.flush()
+        lines = lines_of([json.dumps(line).encode() for line in self.read()], "id1")
+        self.assertEqual(
+            [line.split()[2:4] for line in lines],
+            [
+                ["<", "DependencyRegained"],
+                ["<", "ConfigurationInForce"],
+                ["Routed", "vm=vm1"],
+                ["Answered", "vm=vm1"],
+                [">", "DependencyLost"],
+                [">", "ConfigurationInForce"],
+            ],
+        )
+        self.assertIn("revision=81", lines[4])
+        self.assertIn("age=7", lines[4])
+
     async def test_explain_shows_one_requests_lines_in_order(self) -> None:
         self.journal.record(routed(1))
         self.journal.record(routed(2))
