A change whose reply was lost is in force within the stable window

Cause: a lost reply leaves the connection open and gives no sign. The watch was given up after 5 s and 2 s, that of crash reports after 25 s and 2 s. Changes made meanwhile must be known within stableWindowMs of the end of the disturbance, 4 to 6 s in the deployments. The log shows it: DependencyLost of the watch with age=7.40, 1.5 s after the request.

Change: the waits, timeouts and delays between failing calls follow from stableWindowMs and configApplyMs of the settings, the same for all three kinds (watch_times.py): wait + timeout + one more call fit into the window, the age for which VMs rely on a reader and one question fit into the bound of a change. For 4 s: 2.5 s and 1 s; for 6 s and 5 s readers wait 2.5 s as before. A VM cut off from all others needs its own watch to notice, so that neither another kind's revision nor another VM's version can take its place.

--- a/auburncart/coordination/forwarding/kinds.py
+++ b/auburncart/coordination/forwarding/kinds.py
@@ -8,19 +8,15 @@
 
 from auburncart.coordination.backoff import Backoff
 from auburncart.coordination.forwarding.journal import Journal
+from auburncart.coordination.forwarding.watch_times import WatchTimes
 from auburncart.exception import AuburncartError, HistoryLostError, StoreUnavailableError
 from auburncart.state.event import DependencyLost, DependencyRegained, EntryUnreadable
 
-__all__ = ["WATCH_SECONDS", "Changes", "Entry", "KindSink", "KindStore", "KindWatcher", "Page"]
+__all__ = ["Changes", "Entry", "KindSink", "KindStore", "KindWatcher", "Page"]
 
-WATCH_SECONDS = 5.0  # a store that is unreachable from this VM is noticed within one watch
 COALESCE_SECONDS = 0.4  # joins changes in quick succession; a tenth of the time bounds
 MAX_HISTORY_CHANGES = 2000  # kept for other VMs; several bursts of configurations and releases
-# A relayed watch and one second; with older data other VMs must not rely on this one.
-MAX_FRESH_SECONDS = 3.5
-WATCH_MARGIN_SECONDS = 1.0
 INITIAL_BACKOFF_SECONDS = 0.1
-MAX_BACKOFF_SECONDS = 1.0  # a store that is back must be noticed within two seconds
 
 
 class Entry(NamedTuple):
@@ -114,7 +110,7 @@
     :param sink: receives the objects.
     :param journal: records outages of the store and unreadable objects.
     :param rng: source of the jitter, seeded differently on each VM.
-    :param watch_seconds: maximum duration of one watch.
+    :param times: how long watches may wait, and how recent the objects must be for other VMs.
     """
 
     def __init__(
@@ -124,17 +120,14 @@
         sink: KindSink,
         journal: Journal,
         rng: random.Random,
-        watch_seconds: float = WATCH_SECONDS,
+        times: WatchTimes,
     ) -> None:
         self._store = store
         self._kind = kind
         self._sink = sink
         self._journal = journal
-        self._watch_seconds = watch_seconds
-        self._max_fresh_seconds = MAX_FRESH_SECONDS
-        if watch_seconds > WATCH_SECONDS:
-            self._max_fresh_seconds = watch_seconds + WATCH_MARGIN_SECONDS
-        self._backoff = Backoff(rng, INITIAL_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS)
+        self._times = times
+        self._backoff = Backoff(rng, INITIAL_BACKOFF_SECONDS, times.max_delay)
         self._revision: int | None = None
         self._newest = 0  # revision, also while there is none to watch from
         self._lost_at: float | None = None
@@ -157,7 +150,7 @@
     @property
     def fresh(self) -> bool:
         """Whether the known objects are recent enough for other VMs."""
-        return self._lost_at is None and self.age <= self._max_fresh_seconds
+        return self._lost_at is None and self.age <= self._times.max_age
 
     def page(self) -> Page:
         """Return all known objects, for another VM."""
@@ -209,7 +202,7 @@
             self._oldest = revision
             changed = False
         else:
-            wait = self._watch_seconds if self._lost_at is None else 0.0
+            wait = self._times.wait if self._lost_at is None else 0.0
             changes = await self._store.changes(self._kind, self._revision, wait)
             revision = changes.revision
             self._end_outage(revision)
--- a/auburncart/coordination/forwarding/relay.py
+++ b/auburncart/coordination/forwarding/relay.py
@@ -6,14 +6,9 @@
 from typing import Any
 
 from auburncart.coordination.forwarding.journal import Journal
-from auburncart.coordination.forwarding.kinds import (
-    WATCH_SECONDS,
-    Changes,
-    KindStore,
-    KindWatcher,
-    Page,
-)
+from auburncart.coordination.forwarding.kinds import Changes, KindStore, KindWatcher, Page
 from auburncart.coordination.forwarding.roster import ENTRY_VMS, Roster
+from auburncart.coordination.forwarding.watch_times import WatchTimes
 from auburncart.exception import HistoryLostError, LinkError, StoreUnavailableError
 from auburncart.state.entryvm import EntryVm
 from auburncart.state.event import SourceChanged
@@ -21,9 +16,6 @@
 __all__ = ["RelayClient", "RelayServer", "RelayedStore"]
 
 DIRECT = "store"
-# Together with the next, notices a silent store within the 5 s allowed for a change.
-READER_WATCH_SECONDS = 2.5
-RELAY_WAIT_SECONDS = 1.0  # then a reader, in the same data centre, is asked again if it is fresh
 # VMs that start together with their readers wait for them: all lists at once are most of a day's
 # calls of the store.
 READER_START_SECONDS = 1.5
@@ -90,6 +82,7 @@
     :param make_client: makes the client for other VMs; called at its first use.
     :param roster: names the VMs to ask.
     :param journal: records changes of the source of a kind.
+    :param times: how long watches and questions to other VMs may wait.
     """
 
     def __init__(
@@ -98,12 +91,14 @@
         make_client: Callable[[], RelayClient],
         roster: Roster,
         journal: Journal,
+        times: WatchTimes,
     ) -> None:
         self._store = store
         self._make_client = make_client
         self._cached_client: RelayClient | None = None
         self._roster = roster
         self._journal = journal
+        self._times = times
         self._sources: dict[str, str] = {}
 
     async def list(self, kind: str, after: str = "", *, stale: bool = False) -> Page:
@@ -135,14 +130,12 @@
     async def changes(self, kind: str, revision: int, wait: float) -> Changes:
         """Wait for changes at all readers at once, or at the store if no reader is fresh."""
         sources = self._roster.relay_sources()
-        # Kinds that are watched for longer may be less recent.
-        relay_wait = max(RELAY_WAIT_SECONDS, wait - WATCH_SECONDS)
         if sources:
-            changes = await self._first_changes(sources, kind, revision, relay_wait)
+            changes = await self._first_changes(sources, kind, revision, self._times.question)
             if changes is not None:
                 return changes
-        if self._roster.relaying and wait <= WATCH_SECONDS:
-            wait = min(wait, READER_WATCH_SECONDS)
+        if self._roster.relaying:
+            wait = min(wait, self._times.relayed_wait)
         return await self._store.changes(kind, revision, wait)
 
     async def _first_changes(
--- a/auburncart/coordination/forwarding/tests/store_fixture.py
+++ b/auburncart/coordination/forwarding/tests/store_fixture.py
@@ -1,12 +1,17 @@
 """Stand-in for the platform's store, for tests on virtual time."""
 
 import asyncio
-from typing import Any
+from collections.abc import Awaitable
+from typing import Any, TypeVar
 
 from auburncart.coordination.forwarding.kinds import Changes, Entry, KindStore, Page
+from auburncart.coordination.forwarding.watch_times import WatchTimes
 from auburncart.exception import HistoryLostError, StoreUnavailableError
 
-__all__ = ["FakeStore"]
+__all__ = ["FakeStore", "LossyStore"]
+
+
+T = TypeVar("T")
 
 
 class FakeStore(KindStore):
@@ -96,3 +101,38 @@
     def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
+
+
+class LossyStore(KindStore):
+    """A store as one VM reaches it: replies that are due while it is ``silent`` are lost.
+
+    :param times: when replies count as lost.
+    """
+
+    def __init__(self, store: KindStore, times: WatchTimes) -> None:
+        self.silent = False
+        self._store = store
+        self._times = times
+
+    async def list(self, kind: str, after: str = "", *, stale: bool = False) -> Page:
+        return await self._reply_of(self._store.list(kind, after, stale=stale), self._times.call)
+
+    async def changes(self, kind: str, revision: int, wait: float) -> Changes:
+        timeout = wait + self._times.reply if wait else self._times.call
+        return await self._reply_of(self._store.changes(kind, revision, wait), timeout)
+
+    async def put(self, kind: str, name: str, value: Any) -> None:
+        await self._reply_of(self._store.put(kind, name, value), self._times.call)
+
+    async def delete(self, kind: str, name: str) -> None:
+        await self._reply_of(self._store.delete(kind, name), self._times.call)
+
+    async def _reply_of(self, call: Awaitable[T], timeout: float) -> T:
+        try:
+            async with asyncio.timeout(timeout):
+                reply = await call
+                if self.silent:
+                    await asyncio.Event().wait()
+                return reply
+        except TimeoutError as error:
+            raise StoreUnavailableError("no complete reply in time", step="reply") from error
--- a/auburncart/coordination/forwarding/tests/test_crashing_requests.py
+++ b/auburncart/coordination/forwarding/tests/test_crashing_requests.py
@@ -19,6 +19,7 @@
     crashing_request,
 )
 from auburncart.coordination.forwarding.tests.tier_fixture import Tier
+from auburncart.coordination.forwarding.watch_times import watch_times
 from auburncart.exception import StoreUnavailableError
 from auburncart.standins.replicas import Arrival, FakeReplicaDialer, ReplicaModel
 from auburncart.state.configuration import Route
@@ -26,6 +27,7 @@
 from auburncart.state.forward import ForwardRequest, MergedAnswer, Reply
 from auburncart.tests.virtual import virtual_time
 
+TIMES = watch_times(4.0, 3.0)
 SETTLING_SECONDS = 5.0  # after the third crash, until arrivals count
 MAX_LATE_ARRIVALS = 3
 REPEATS = 10
@@ -66,7 +68,9 @@
 def watch_crashes(store: CrashStore, fixtures: list[GatewayFixture]) -> list[asyncio.Task[None]]:
     """Let VMs watch the reports of crashes."""
     watchers = [
-        KindWatcher(store, CRASHES, fixture.quarantine, fixture.journal, random.Random(number))
+        KindWatcher(
+            store, CRASHES, fixture.quarantine, fixture.journal, random.Random(number), TIMES
+        )
         for number, fixture in enumerate(fixtures)
     ]
     return [asyncio.create_task(watcher.run()) for watcher in watchers]
--- a/auburncart/coordination/forwarding/tests/test_quarantine.py
+++ b/auburncart/coordination/forwarding/tests/test_quarantine.py
@@ -10,6 +10,7 @@
     request,
 )
 from auburncart.coordination.forwarding.tests.test_relay import StoreModel
+from auburncart.coordination.forwarding.watch_times import watch_times
 from auburncart.exception import StoreUnavailableError
 from auburncart.standins.replicas import ReplicaModel
 from auburncart.state.crash import CrashReport
@@ -17,6 +18,7 @@
 from auburncart.state.forward import ForwardedReply, ForwardRequest
 from auburncart.tests.virtual import virtual_time
 
+TIMES = watch_times(4.0, 3.0)
 DOWN_SECONDS = 3.0  # after a crash, until the replica accepts connections again
 
 
@@ -58,7 +60,7 @@
         tasks = []
         for number, fixture in enumerate(fixtures):
             watcher = KindWatcher(
-                store, CRASHES, fixture.quarantine, fixture.journal, random.Random(number)
+                store, CRASHES, fixture.quarantine, fixture.journal, random.Random(number), TIMES
             )
             tasks.append(asyncio.create_task(watcher.run()))
             fixture.add("s", 1, crash_on_bad_path(ReplicaModel()))
--- a/auburncart/coordination/forwarding/tests/test_relay.py
+++ b/auburncart/coordination/forwarding/tests/test_relay.py
@@ -14,6 +14,8 @@
 from auburncart.coordination.forwarding.relay import RelayClient, RelayedStore, RelayServer
 from auburncart.coordination.forwarding.roster import Roster
 from auburncart.coordination.forwarding.tests.gateway_fixture import ListJournal
+from auburncart.coordination.forwarding.tests.store_fixture import LossyStore
+from auburncart.coordination.forwarding.watch_times import WatchTimes, watch_times
 from auburncart.exception import HistoryLostError, LinkError, StoreUnavailableError
 from auburncart.state.entryvm import EntryVm
 from auburncart.tests.virtual import virtual_time
@@ -21,6 +23,7 @@
 VMS = 20
 MAX_WAIT_SECONDS = 30.0
 MAX_CONFIGURATION_SECONDS = 5.0  # within which a change must be in force with so many VMs
+TIMES = watch_times(6.0, MAX_CONFIGURATION_SECONDS)
 
 
 class StoreModel(KindStore):
@@ -73,8 +76,9 @@
 class InterruptibleStore(KindStore):
     """The store as one VM reaches it: silent while ``cut_off``, refuses calls while ``down``."""
 
-    def __init__(self, store: StoreModel) -> None:
-        self.store = store
+    def __init__(self, store: StoreModel, times: WatchTimes) -> None:
+        self.store = LossyStore(store, times)
+        self.times = times
         self.cut_off = False
         self.down = False
 
@@ -83,7 +87,7 @@
             call.close()
             raise StoreUnavailableError("status 503", step="store", sent=False)
         try:
-            async with asyncio.timeout(seconds + 2.0):
+            async with asyncio.timeout(seconds + self.times.call):
                 answer = await call
                 while self.cut_off:
                     await asyncio.sleep(0.1)
@@ -128,12 +132,12 @@
         own = EntryVm(f"vm{number}", "dc1", f"127.0.0.1:{number}")
         self.up = True
         self.journal = ListJournal()
-        self.store = InterruptibleStore(tier.store)
+        self.store = InterruptibleStore(tier.store, tier.times)
         self.roster = Roster(self.store, own, self.journal, first_start=first_start)
-        relayed = RelayedStore(self.store, lambda: tier, self.roster, self.journal)
+        relayed = RelayedStore(self.store, lambda: tier, self.roster, self.journal, tier.times)
         self.sink = RecordingSink()
         self.watcher = KindWatcher(
-            relayed, "things", self.sink, self.journal, random.Random(number)
+            relayed, "things", self.sink, self.journal, random.Random(number), tier.times
         )
         self.server = RelayServer({"things": self.watcher}, self.roster)
         self.tasks = [
@@ -145,7 +149,8 @@
 class Tier(RelayClient):
     """VMs of one data centre, with no latency between them."""
 
-    def __init__(self) -> None:
+    def __init__(self, times: WatchTimes = TIMES) -> None:
+        self.times = times
         self.store = StoreModel()
         self.start(first_start=True)
 
@@ -333,7 +338,7 @@
         newer = Page((Entry("main", "new", 11),), False, 11)
         sink = RecordingSink()
         store = LaggingStore(known, older, older, newer)
-        watcher = KindWatcher(store, "things", sink, ListJournal(), random.Random(1))
+        watcher = KindWatcher(store, "things", sink, ListJournal(), random.Random(1), TIMES)
         task = asyncio.create_task(watcher.run())
         values = []
         for _ in range(60):
--- a/auburncart/coordination/forwarding/tests/test_replica_registry.py
+++ b/auburncart/coordination/forwarding/tests/test_replica_registry.py
@@ -22,10 +22,12 @@
     whole_limit,
 )
 from auburncart.coordination.forwarding.tests.store_fixture import FakeStore
+from auburncart.coordination.forwarding.watch_times import watch_times
 from auburncart.standins.replicas import FakeReplicaDialer
 from auburncart.tests.virtual import virtual_time
 
 REPLICAS = "replicas"
+TIMES = watch_times(4.0, 3.0)
 CALL_SECONDS = 0.01  # within which a waiting call notices a change
 OUTAGE_SECONDS = 0.25  # the first back-off
 SETTLED_SECONDS = 10.0  # more than back-off, re-registration and the next sweep take
@@ -45,7 +47,7 @@
             self.journal,
         )
         watcher = KindWatcher(
-            self.store, REPLICAS, ReplicaSink(self.registry), self.journal, random.Random(1)
+            self.store, REPLICAS, ReplicaSink(self.registry), self.journal, random.Random(1), TIMES
         )
         self.tasks = [asyncio.create_task(run()) for run in (self.registry.run, watcher.run)]
 
--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -15,7 +15,7 @@
 from auburncart.coordination.forwarding.gateway import Gateway
 from auburncart.coordination.forwarding.helper_links import MergeLink
 from auburncart.coordination.forwarding.interfaces import VmListener
-from auburncart.coordination.forwarding.kinds import WATCH_SECONDS, KindSink, KindWatcher
+from auburncart.coordination.forwarding.kinds import KindSink, KindWatcher
 from auburncart.coordination.forwarding.merging import MergeServer, merging_wanted
 from auburncart.coordination.forwarding.quarantine import CRASHES, RequestQuarantine
 from auburncart.coordination.forwarding.relay import RelayClient, RelayedStore, RelayServer
@@ -25,6 +25,7 @@
 from auburncart.coordination.forwarding.shard_owners import ShardOwners
 from auburncart.coordination.forwarding.share import LimitShares
 from auburncart.coordination.forwarding.sinks import ConfigurationSink, ReplicaSink
+from auburncart.coordination.forwarding.watch_times import watch_times
 from auburncart.coordination.shutdown import RequestTracker, Shutdown, ShutdownTimes
 from auburncart.exception import SettingsError
 from auburncart.platform.messages import PlatformCallerCodec, PlatformReplicaCodec
@@ -59,7 +60,6 @@
 REPLY_MEMORY_SHARE = 0.25  # of the process's memory; bodies are copied once to be forwarded
 MERGE_CHECK_INTERVAL_SECONDS = 1.0  # VMs and replicas that start together take seconds to appear
 DECLINE_CHECK_INTERVAL_SECONDS = 0.5  # an outage of the store is noticed only after seconds
-CRASH_WATCH_SECONDS = 25.0  # below the store's limit of 30 s; a late report does little harm
 CLOCK_CHECK_INTERVAL_SECONDS = 0.5  # half of the balancer's probe interval
 MIN_SUSPENSION_SECONDS = 0.5  # no peer gives up its connections after a shorter one
 METRICS_PATH = "/metrics"
@@ -81,8 +81,12 @@
         self.failed = asyncio.Event()
         self._log = EliotJournal(sys.stdout.fileno(), settings.name)
         self._journal = ForwardMetrics(self._log)
+        self._times = watch_times(settings.stable_seconds, settings.apply_seconds)
         self._store = HttpKindStore(
-            settings.store_address, PlatformKindStoreCodec(), self._journal.count_store_call
+            settings.store_address,
+            PlatformKindStoreCodec(),
+            self._journal.count_store_call,
+            self._times,
         )
         self._configuration = ActiveConfiguration(self._journal)
         self._registry = ReplicaRegistry(
@@ -116,11 +120,13 @@
             settings.name, settings.data_centre, settings.relay_address, settings.merge_address
         )
         self._roster = Roster(self._store, own, self._journal, first_start=settings.first_start)
-        self._relayed = RelayedStore(self._store, _relay_client, self._roster, self._journal)
+        self._relayed = RelayedStore(
+            self._store, _relay_client, self._roster, self._journal, self._times
+        )
         self._watchers = (
             self._make_watcher(CONFIGURATION, ConfigurationSink(self._configuration)),
             self._make_watcher(REPLICAS, self._replicas),
-            self._make_watcher(CRASHES, self._quarantine, CRASH_WATCH_SECONDS),
+            self._make_watcher(CRASHES, self._quarantine),
         )
         self._owners = ShardOwners(
             self._all_shards, self._registry, self._roster, settings.distance
@@ -339,11 +345,9 @@
             lambda: float(sum(pool.connections for pool in self._registry.pools)),
         )
 
-    def _make_watcher(
-        self, kind: str, sink: KindSink, watch_seconds: float = WATCH_SECONDS
-    ) -> KindWatcher:
+    def _make_watcher(self, kind: str, sink: KindSink) -> KindWatcher:
         rng = random.Random(f"{self._settings.name}/{kind}")
-        return KindWatcher(self._relayed, kind, sink, self._journal, rng, watch_seconds)
+        return KindWatcher(self._relayed, kind, sink, self._journal, rng, self._times)
 
     def _caller_limits(self) -> CallerLimits:
         table = self._configuration.table
--- a/auburncart/platform/settings.py
+++ b/auburncart/platform/settings.py
@@ -32,6 +32,8 @@
     retryWindowS: float = 10.0  # noqa: N815
     retrySlack: float = 50.0  # noqa: N815
     graceS: float = 6.0  # noqa: N815
+    stableWindowMs: float = 4000.0  # noqa: N815
+    configApplyMs: float = 3000.0  # noqa: N815
 
 
 class _Settings(msgspec.Struct):
@@ -73,6 +75,8 @@
         first_start=body.bootstrap,
         memory_bytes=int(body.limits.memoryMb * BYTES_PER_MEGABYTE),
         grace_seconds=bounds.graceS,
+        stable_seconds=bounds.stableWindowMs / 1000.0,
+        apply_seconds=bounds.configApplyMs / 1000.0,
         bounds=RetryBudgetSettings(
             retry_ratio=bounds.retryRatio,
             retry_window_seconds=bounds.retryWindowS,
--- a/auburncart/settings/forward.py
+++ b/auburncart/settings/forward.py
@@ -34,6 +34,9 @@
     :param first_start: whether this is the first start of all VMs of the tier.
     :param memory_bytes: memory that the process may use.
     :param grace_seconds: time between SIGTERM and the end of the process.
+    :param stable_seconds: after a disturbance of the VM or of the store, until changes that were
+        made during it must be known.
+    :param apply_seconds: after a change of the configuration, until it must be in force.
     :param bounds: retry budget that all VMs share.
     """
 
@@ -50,6 +53,8 @@
     first_start: bool = False
     memory_bytes: int = 160_000_000
     grace_seconds: float = 6.0
+    stable_seconds: float = 4.0
+    apply_seconds: float = 3.0
     bounds: RetryBudgetSettings = RetryBudgetSettings()
 
     def distance(self, data_centre: str) -> int:
--- a/auburncart/transport/kinds.py
+++ b/auburncart/transport/kinds.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from auburncart.coordination.forwarding.kinds import Changes, KindStore, Page
+from auburncart.coordination.forwarding.watch_times import WatchTimes
 from auburncart.exception import HistoryLostError, ProtocolError, StoreUnavailableError
 from auburncart.protocol.kinds import KindStoreCall, KindStoreCodec
 from auburncart.transport.client import RawReply
@@ -23,12 +24,22 @@
     :param address: ``"IP:port"`` of the store.
     :param codec: encodes the calls and decodes the replies.
     :param on_call: called with each call's kind of object and result, for metrics.
+    :param times: when replies count as lost.
     """
 
     def __init__(
-        self, address: str, codec: KindStoreCodec, on_call: Callable[[str, str], None]
+        self,
+        address: str,
+        codec: KindStoreCodec,
+        on_call: Callable[[str, str], None],
+        times: WatchTimes,
     ) -> None:
-        self._client = StoreClient(address, MAX_REPLY_BYTES)
+        self._client = StoreClient(
+            address,
+            MAX_REPLY_BYTES,
+            call_timeout_seconds=times.call,
+            watch_timeout_seconds=times.reply,
+        )
         self._codec = codec
         self._on_call = on_call
 
--- a/auburncart/transport/store_client.py
+++ b/auburncart/transport/store_client.py
@@ -33,7 +33,8 @@
     :param address: ``"IP:port"`` of the store.
     :param max_bytes: maximum size of a reply body.
     :param headers: headers sent with every call.
-    :param call_timeout_seconds: timeout of a call; the wait of a watch is added to it.
+    :param call_timeout_seconds: timeout of a call.
+    :param watch_timeout_seconds: timeout of a watch after its wait; that of a call by default.
     """
 
     def __init__(
@@ -42,11 +43,13 @@
         max_bytes: int,
         headers: tuple[tuple[bytes, bytes], ...] = (),
         call_timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+        watch_timeout_seconds: float | None = None,
     ) -> None:
         self._address = address
         self._max_bytes = max_bytes
         self._headers = headers
         self._call_timeout_seconds = call_timeout_seconds
+        self._watch_timeout_seconds = watch_timeout_seconds or call_timeout_seconds
         self._idle: list[ClientConnection] = []
 
     @property
@@ -60,8 +63,9 @@
         :param wait: seconds for which the store may delay its reply.
         :raises StoreUnavailableError: no complete reply; ``sent`` is False if nothing was sent.
         """
+        timeout = wait + self._watch_timeout_seconds if wait else self._call_timeout_seconds
         try:
-            async with asyncio.timeout(self._call_timeout_seconds + wait):
+            async with asyncio.timeout(timeout):
                 connection = await self._take_connection()
                 reply = await connection.exchange(self._encode(call))
         except (LinkError, ProtocolError) as error:
