A call after a lost reply opens a new connection to the store

Seen on a stand-in: connections that go silent together, without a reset, cost one timeout for each idle one that the client kept, up to eight, before a call reached the store; then no watch is replaced within the stable window.

Cause: after a timeout only the connection of that call was closed; the next call took an idle one from before.

Change: a timeout closes the idle connections as well.

Before: test_after_a_lost_reply_the_next_call_uses_no_connection_from_before failed (no complete reply in time). After: passed.

--- a/auburncart/transport/store_client.py
+++ b/auburncart/transport/store_client.py
@@ -76,6 +76,7 @@
                 sent=error.step != "connect",
             ) from error
         except TimeoutError as error:
+            self.close()  # the idle connections may have gone silent with this one
             reason = "no complete reply in time"
             raise StoreUnavailableError(reason, step="reply", peer=self._address) from error
         if connection.usable and len(self._idle) < MAX_IDLE_CONNECTIONS:
