A replica that left during a lost reply is dropped within the stable window

Cause: after an outage missing replicas are kept for two seconds from the moment at which the VM notices the store's return. With a lost reply that moment comes up to a whole watch later.

Change: a watcher tells its sink when the last call that failed began; the outage lasted at least until then. Missing replicas are kept for two seconds, but not beyond the stable window from that moment, and dropped by a timer instead of the tick. After a store that was silent for long, replicas that register late may be missed for up to 1.1 s, until their entry is back.

Before: test_a_replica_that_left_during_a_lost_reply_is_not_kept_for_its_return failed with the two seconds alone (['s/1'] instead of []). After: passed, as did the random orders of test_replica_registry.py.

--- a/auburncart/coordination/forwarding/kinds.py
+++ b/auburncart/coordination/forwarding/kinds.py
@@ -98,8 +98,12 @@
         """Handle the confirmation that the known objects are those in the store."""
 
     @abstractmethod
-    def store_recovered(self) -> None:
-        """Handle the end of an outage of the store."""
+    def store_recovered(self, failed_at: float) -> None:
+        """Handle the end of an outage of the store, which may have been one lost reply.
+
+        :param failed_at: loop time at which the last call that failed began; the outage lasted at
+            least until then.
+        """
 
 
 class KindWatcher:
@@ -131,6 +135,8 @@
         self._revision: int | None = None
         self._newest = 0  # revision, also while there is none to watch from
         self._lost_at: float | None = None
+        self._called_at = 0.0
+        self._failed_at = 0.0
         self._confirmed_at = float("-inf")
         self._entries: dict[str, Entry] = {}
         self._history: deque[tuple[int, Entry]] = deque(maxlen=MAX_HISTORY_CHANGES)
@@ -189,6 +195,7 @@
                 await asyncio.sleep(self._backoff.next_delay())
 
     async def _step(self) -> None:
+        self._called_at = asyncio.get_running_loop().time()
         if self._revision is None:
             entries, revision = await self._list_all()
             if revision < self._newest:
@@ -247,6 +254,7 @@
         return entries
 
     def _record_outage(self, error: AuburncartError) -> None:
+        self._failed_at = self._called_at
         if self._lost_at is None:
             self._lost_at = asyncio.get_running_loop().time()
             age = self._lost_at - self._confirmed_at if self._newest else 0.0
@@ -259,4 +267,4 @@
             seconds = asyncio.get_running_loop().time() - self._lost_at
             self._lost_at = None
             self._journal.record(DependencyRegained(f"store {self._kind}", seconds, revision))
-            self._sink.store_recovered()
+            self._sink.store_recovered(self._failed_at)
--- a/auburncart/coordination/forwarding/quarantine.py
+++ b/auburncart/coordination/forwarding/quarantine.py
@@ -131,7 +131,7 @@
         for digest in [key for key, past in self._histories.items() if past.expired(now)]:
             del self._histories[digest]
 
-    def store_recovered(self) -> None:
+    def store_recovered(self, failed_at: float) -> None:
         """Do nothing: known crashes stay valid during an outage of the store."""
 
     def _history_of(self, request: ForwardRequest) -> CrashHistory | None:
--- a/auburncart/coordination/forwarding/replica_registry.py
+++ b/auburncart/coordination/forwarding/replica_registry.py
@@ -16,6 +16,8 @@
 __all__ = ["ReplicaRegistry"]
 
 REREGISTRATION_SECONDS = 2.0  # within which live replicas register again after an outage
+REMOVAL_MARGIN_SECONDS = 0.1
+TIMER_MARGIN_SECONDS = 0.005  # a timer may run early by the resolution of the clock
 # Between checks of idle connections; well below the shortest idle limit.
 IDLE_CHECK_SECONDS = 1.0
 MAX_LEAVING = 10_000  # processes that are remembered as leaving
@@ -102,9 +104,14 @@
         delays = (pool.send_delay(priority) for pool in self.candidates(service))
         return min(delays, default=0.0)
 
-    def store_recovered(self) -> None:
-        """Keep replicas for a while whose entries expired during an outage of the store."""
-        self._reregistration_until = _now() + REREGISTRATION_SECONDS
+    def store_recovered(self, gone_at: float) -> None:
+        """Keep replicas for a while whose entries expired during an outage of the store.
+
+        :param gone_at: loop time from which replicas that are missing must not be used.
+        """
+        until = min(_now() + REREGISTRATION_SECONDS, gone_at - REMOVAL_MARGIN_SECONDS)
+        self._reregistration_until = until
+        asyncio.get_running_loop().call_at(until + TIMER_MARGIN_SECONDS, self._drop_lapsed)
 
     def replace(self, registrations: Iterable[Registration]) -> None:
         """Replace all replicas by a complete list."""
@@ -151,10 +158,9 @@
             pool.retire()
 
     async def run(self) -> None:
-        """Remove lapsed replicas and close expired connections; runs until cancelled."""
+        """Close expired connections; runs until cancelled."""
         while True:
             await asyncio.sleep(IDLE_CHECK_SECONDS)
-            self._drop_lapsed()
             for pool in self.pools:
                 pool.close_expired()
 
--- a/auburncart/coordination/forwarding/sinks.py
+++ b/auburncart/coordination/forwarding/sinks.py
@@ -34,7 +34,7 @@
         """Record that the version in force is the newest."""
         self._configuration.confirm()
 
-    def store_recovered(self) -> None:
+    def store_recovered(self, failed_at: float) -> None:
         """Do nothing: the version in force stays until a newer one comes."""
 
 
@@ -42,10 +42,12 @@
     """Keeps the registry of replicas up to date.
 
     :param registry: the replicas.
+    :param stable_seconds: after an outage, until replicas that left during it must be gone.
     """
 
-    def __init__(self, registry: ReplicaRegistry) -> None:
+    def __init__(self, registry: ReplicaRegistry, stable_seconds: float) -> None:
         self._registry = registry
+        self._stable_seconds = stable_seconds
         self._listed = asyncio.Event()
 
     @property
@@ -68,6 +70,6 @@
     def confirm(self) -> None:
         """Do nothing: a replica's entry is valid until it changes."""
 
-    def store_recovered(self) -> None:
+    def store_recovered(self, failed_at: float) -> None:
         """Give replicas time to register again whose entries expired during the outage."""
-        self._registry.store_recovered()
+        self._registry.store_recovered(failed_at + self._stable_seconds)
--- a/auburncart/coordination/forwarding/tests/test_relay.py
+++ b/auburncart/coordination/forwarding/tests/test_relay.py
@@ -123,7 +123,7 @@
     def confirm(self) -> None:
         pass
 
-    def store_recovered(self) -> None:
+    def store_recovered(self, failed_at: float) -> None:
         self.outages += 1
 
 
--- a/auburncart/coordination/forwarding/tests/test_replica_registry.py
+++ b/auburncart/coordination/forwarding/tests/test_replica_registry.py
@@ -21,13 +21,14 @@
     registration,
     whole_limit,
 )
-from auburncart.coordination.forwarding.tests.store_fixture import FakeStore
+from auburncart.coordination.forwarding.tests.store_fixture import FakeStore, LossyStore
 from auburncart.coordination.forwarding.watch_times import watch_times
 from auburncart.standins.replicas import FakeReplicaDialer
 from auburncart.tests.virtual import virtual_time
 
 REPLICAS = "replicas"
-TIMES = watch_times(4.0, 3.0)
+STABLE_SECONDS = 4.0
+TIMES = watch_times(STABLE_SECONDS, 3.0)
 CALL_SECONDS = 0.01  # within which a waiting call notices a change
 OUTAGE_SECONDS = 0.25  # the first back-off
 SETTLED_SECONDS = 10.0  # more than back-off, re-registration and the next sweep take
@@ -38,6 +39,7 @@
 
     def __init__(self) -> None:
         self.store = FakeStore()
+        self.link = LossyStore(self.store, TIMES)
         self.journal = ListJournal()
         self.registry = ReplicaRegistry(
             lambda data_centre: 0,
@@ -47,7 +49,12 @@
             self.journal,
         )
         watcher = KindWatcher(
-            self.store, REPLICAS, ReplicaSink(self.registry), self.journal, random.Random(1), TIMES
+            self.link,
+            REPLICAS,
+            ReplicaSink(self.registry, STABLE_SECONDS),
+            self.journal,
+            random.Random(1),
+            TIMES,
         )
         self.tasks = [asyncio.create_task(run()) for run in (self.registry.run, watcher.run)]
 
@@ -92,6 +99,22 @@
         self.assertEqual(vm.known(), [])
         await vm.stop()
 
+    @virtual_time
+    async def test_a_replica_that_left_during_a_lost_reply_is_not_kept_for_its_return(self) -> None:
+        """It was kept for two seconds more, until after the stable window."""
+        for phase in range(10):
+            vm = _Vm()
+            vm.store.write(REPLICAS, "s/1", registration("s", 1))
+            await asyncio.sleep(1.0 + TIMES.wait * phase / 10.0)
+            self.assertEqual(vm.candidates("s"), ["s/1"])
+            vm.link.silent = True
+            vm.store.remove(REPLICAS, "s/1")
+            await asyncio.sleep(CALL_SECONDS)
+            vm.link.silent = False
+            await asyncio.sleep(STABLE_SECONDS)
+            self.assertEqual(vm.candidates("s"), [])
+            await vm.stop()
+
     @virtual_time
     async def test_a_replica_that_returns_before_its_removal_is_kept(self) -> None:
         vm = _Vm()
--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -99,7 +99,7 @@
             lambda replica, limit: self._shares.requests(replica, limit),
             self._journal,
         )
-        self._replicas = ReplicaSink(self._registry)
+        self._replicas = ReplicaSink(self._registry, settings.stable_seconds)
         bounds = settings.bounds
         self._budget = RetryBudget(
             BudgetBounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_seconds),
