An offered upgrade gets one answer and the connection stays usable

Seen: a GET with Connection: Upgrade was answered 200 and then 400; a caller that used the connection again took the 400 for its next answer. A body behind such a head was read as the next request.

Cause: httptools stops at a head that offers an upgrade (HttpParserUpgrade), after the request was queued, and the stop was answered as an invalid one.

Change: the head is parsed again without the offer. CONNECT is refused once.

Before: test_an_offered_upgrade_is_ignored_and_the_connection_stays_usable failed with (400, b'') instead of (200, b'abc').

--- a/auburncart/transport/front.py
+++ b/auburncart/transport/front.py
@@ -26,6 +26,8 @@
 # been called for all others; and in total, for when no descriptor is left to accept one.
 QUIET_ITERATIONS = 4
 MAX_ACCEPT_ITERATIONS = 100
+CONNECT = b"CONNECT"
+UPGRADE = b"upgrade"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 REASON_PHRASES = {
     200: b"OK",
@@ -160,12 +162,7 @@
             self._framing_size += len(data)
         else:
             self._head_size += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
-        except httptools.HttpParserError:
-            self._refuse(400)
+        self._parse(data)
         limits = self._server.limits()
         if not self._head_complete and self._head_size > limits.max_header_bytes:
             self._refuse(431)
@@ -174,6 +171,33 @@
         if len(self._received) >= MAX_PIPELINED_REQUESTS and self._transport is not None:
             self._transport.pause_reading()
 
+    def _parse(self, data: bytes) -> None:
+        while not self._refused:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                data = data[upgrade.args[0] :]
+                self._ignore_upgrade()
+                continue
+            except httptools.HttpParserError:
+                self._refuse(400)
+            return
+
+    def _ignore_upgrade(self) -> None:
+        """Parse a head again without its offer of an upgrade (RFC 9110, section 7.8).
+
+        The parser takes all that follows such a head for another protocol, also a body.
+        """
+        method, version = self._parser.get_method(), self._parser.get_http_version().encode()
+        if method == CONNECT:
+            self._refuse(400)
+            return
+        lines = [b"%b %b HTTP/%b" % (method, self._target, version)]
+        lines += [b"%b: %b" % header for header in self._headers if header[0].lower() != UPGRADE]
+        self._target, self._headers, self._head_complete = b"", [], False
+        self._parser = httptools.HttpRequestParser(self)
+        self._parse(b"\r\n".join((*lines, b"", b"")))
+
     def eof_received(self) -> bool:
         """Let the transport close when the caller closes its side."""
         return False
@@ -217,6 +241,8 @@
     def on_headers_complete(self) -> None:
         """Check the size limits at the end of the headers."""
         self._head_complete = True
+        if self._parser.should_upgrade():
+            return
         self._started_at = received_at()
         limits = self._server.limits()
         size = len(self._target) + sum(len(name) + len(value) + 4 for name, value in self._headers)
@@ -240,7 +266,7 @@
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
-        if self._refused:
+        if self._refused or self._parser.should_upgrade():
             return
         self._enqueue(0, self._parser.should_keep_alive())
         self._reset_request()
--- a/auburncart/transport/tests/test_front.py
+++ b/auburncart/transport/tests/test_front.py
@@ -80,6 +80,47 @@
         )
         self.assertEqual([(await self.reply())[2] for _ in range(2)], [b"abc", b"def"])
 
+    async def test_an_offered_upgrade_is_ignored_and_the_connection_stays_usable(self) -> None:
+        """The request was answered, then 400 followed as if for the next one."""
+        offers = (
+            b"Connection: Upgrade\r\nUpgrade: websocket\r\n",
+            b"Connection: keep-alive, Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+            b"HTTP2-Settings: AAMAAABk\r\n",
+        )
+        bodies = (
+            (b"\r\n", b""),
+            (b"Content-Length: 3\r\n\r\nabc", b"abc"),
+            (b"Transfer-Encoding: chunked\r\n\r\n2\r\nde\r\n1\r\nf\r\n0\r\n\r\n", b"def"),
+        )
+        requests = [
+            (b"POST /a HTTP/1.1\r\n" + HEAD % b"1" + offer + framed, body)
+            for offer in offers
+            for framed, body in bodies
+        ]
+        sent = b"".join(request for request, _ in requests)
+        for size in (len(sent), 7, 1):
+            for start in range(0, len(sent), size):
+                self.writer.write(sent[start : start + size])
+                if size < len(sent):
+                    await asyncio.sleep(0.0)
+            for _, body in requests:
+                status, _, answered = await self.reply()
+                self.assertEqual((status, answered), (200, body))
+        self.writer.write(b"GET /a HTTP/1.1\r\n" + HEAD % b"last" + b"\r\n")
+        status, head, _ = await self.reply()
+        self.assertEqual(status, 200)
+        self.assertIn(b"X-Id: last", head)
+        names = {name.lower() for request in self.echo.requests for name, _ in request.headers}
+        self.assertNotIn(b"upgrade", names)
+
+    async def test_a_tunnel_is_refused_once_and_the_connection_closed(self) -> None:
+        self.writer.write(b"CONNECT h:443 HTTP/1.1\r\n" + HEAD % b"1" + b"\r\n")
+        self.writer.write(b"GET /a HTTP/1.1\r\n" + HEAD % b"2" + b"\r\n")
+        status, _, _ = await self.reply()
+        self.assertEqual(status, 400)
+        self.assertEqual(await self.reader.read(), b"")
+        self.assertEqual(self.echo.requests, [])
+
     async def test_an_invalid_request_is_refused_and_nothing_after_it_is_read(self) -> None:
         cases = {
             b"rubbish\r\n\r\n": 400,
