--- a/auburncart/transport/front.py
+++ b/auburncart/transport/front.py
@@ -194,7 +194,7 @@
             return
         lines = [b"%b %b HTTP/%b" % (method, self._target, version)]
         lines += [b"%b: %b" % header for header in self._headers if header[0].lower() != UPGRADE]
-        self._target, self._headers, self._head_complete = b"", [], False
+        self._reset_head()
         self._parser = httptools.HttpRequestParser(self)
         self._parse(b"\r\n".join((*lines, b"", b"")))
 
@@ -370,14 +370,17 @@
         elif not self._started_at:
             self.close()
 
-    def _reset_request(self) -> None:
+    def _reset_head(self) -> None:
         self._target = b""
         self._headers: list[Header] = []
+        self._head_complete = False
+
+    def _reset_request(self) -> None:
+        self._reset_head()
         self._body: list[bytes] = []
         self._body_size = 0
         self._head_size = 0
         self._framing_size = 0
-        self._head_complete = False
         self._started_at = 0.0
 
 
