--- a/auburncart/coordination/forwarding/relay.py
+++ b/auburncart/coordination/forwarding/relay.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from auburncart.coordination.forwarding.journal import Journal
-from auburncart.coordination.forwarding.kinds import Changes, KindStore, KindWatcher, Page
+from auburncart.coordination.forwarding.kind_watcher import KindWatcher
+from auburncart.coordination.forwarding.kinds import Changes, KindStore, Page
 from auburncart.coordination.forwarding.roster import ENTRY_VMS, Roster
 from auburncart.coordination.forwarding.watch_times import WatchTimes
 from auburncart.exception import HistoryLostError, LinkError, StoreUnavailableError
--- a/auburncart/coordination/forwarding/tests/test_lost_replies.py
+++ b/auburncart/coordination/forwarding/tests/test_lost_replies.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from auburncart.coordination.forwarding.kinds import KindWatcher
+from auburncart.coordination.forwarding.kind_watcher import KindWatcher
 from auburncart.coordination.forwarding.tests.gateway_fixture import ListJournal
 from auburncart.coordination.forwarding.tests.store_fixture import FakeStore, LossyStore
 from auburncart.coordination.forwarding.tests.test_relay import RecordingSink, Tier, Vm
--- a/auburncart/coordination/forwarding/tests/test_quarantine.py
+++ b/auburncart/coordination/forwarding/tests/test_quarantine.py
@@ -2,7 +2,7 @@
 import random
 import unittest
 
-from auburncart.coordination.forwarding.kinds import KindWatcher
+from auburncart.coordination.forwarding.kind_watcher import KindWatcher
 from auburncart.coordination.forwarding.quarantine import CRASHES, MAX_CONFIRMATIONS
 from auburncart.coordination.forwarding.tests.gateway_fixture import (
     GatewayFixture,
--- a/auburncart/coordination/forwarding/tests/test_relay.py
+++ b/auburncart/coordination/forwarding/tests/test_relay.py
@@ -3,12 +3,12 @@
 import unittest
 from typing import Any
 
+from auburncart.coordination.forwarding.kind_watcher import KindWatcher
 from auburncart.coordination.forwarding.kinds import (
     Changes,
     Entry,
     KindSink,
     KindStore,
-    KindWatcher,
     Page,
 )
 from auburncart.coordination.forwarding.relay import RelayClient, RelayedStore, RelayServer
--- a/auburncart/coordination/forwarding/tests/test_replica_registry.py
+++ b/auburncart/coordination/forwarding/tests/test_replica_registry.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from auburncart.coordination.forwarding.kinds import KindWatcher
+from auburncart.coordination.forwarding.kind_watcher import KindWatcher
 from auburncart.coordination.forwarding.replica_registry import (
     REREGISTRATION_SECONDS,
     ReplicaRegistry,
--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -15,7 +15,8 @@
 from auburncart.coordination.forwarding.gateway import Gateway
 from auburncart.coordination.forwarding.helper_links import MergeLink
 from auburncart.coordination.forwarding.interfaces import VmListener
-from auburncart.coordination.forwarding.kinds import KindSink, KindWatcher
+from auburncart.coordination.forwarding.kind_watcher import KindWatcher
+from auburncart.coordination.forwarding.kinds import KindSink
 from auburncart.coordination.forwarding.merging import MergeServer, merging_wanted
 from auburncart.coordination.forwarding.quarantine import CRASHES, RequestQuarantine
 from auburncart.coordination.forwarding.relay import RelayClient, RelayedStore, RelayServer
