A list of the store ends, or fails with a clear error

Cause: the name of an undecodable entry was sought with a pattern without escapes, in the first object called meta; the list went on after "". An empty page with more to come raised IndexError, which ends the process.

Change: names are read token by token for any valid JSON; list_all, for the kinds and the list of VMs, takes a page without a new name for an outage, which is logged and retried with a delay.

--- a/auburncart/coordination/forwarding/kind_watcher.py
+++ b/auburncart/coordination/forwarding/kind_watcher.py
@@ -5,7 +5,14 @@
 
 from auburncart.coordination.backoff import Backoff
 from auburncart.coordination.forwarding.journal import Journal
-from auburncart.coordination.forwarding.kinds import Changes, Entry, KindSink, KindStore, Page
+from auburncart.coordination.forwarding.kinds import (
+    Changes,
+    Entry,
+    KindSink,
+    KindStore,
+    Page,
+    list_all,
+)
 from auburncart.coordination.forwarding.latest_changes import LatestChanges
 from auburncart.coordination.forwarding.watch_times import WatchTimes
 from auburncart.exception import AuburncartError, HistoryLostError, StoreUnavailableError
@@ -103,7 +110,8 @@
     async def _step(self) -> None:
         self._called_at = asyncio.get_running_loop().time()
         if self._revision is None:
-            entries, revision = await self._list_all()
+            page = await list_all(self._store, self._kind)
+            entries, revision = page.entries, page.revision
             if revision < self._newest:
                 # Another VM that is behind may list objects which are known to be deleted.
                 reason = f"{self._kind} listed at revision {revision}, known at {self._newest}"
@@ -132,15 +140,6 @@
         self._revision_changed.set()
         self._revision_changed = asyncio.Event()
 
-    async def _list_all(self) -> tuple[tuple[Entry, ...], int]:
-        """Return all objects and the revision of the first page, from which to watch."""
-        page = await self._store.list(self._kind)
-        entries, revision = list(page.entries), page.revision
-        while page.has_more:
-            page = await self._store.list(self._kind, page.entries[-1].name)
-            entries += page.entries
-        return tuple(entries), revision
-
     def _report_unreadable(self, entries: tuple[Entry, ...]) -> tuple[Entry, ...]:
         for entry in entries:
             if entry.error:
--- a/auburncart/coordination/forwarding/kinds.py
+++ b/auburncart/coordination/forwarding/kinds.py
@@ -3,7 +3,9 @@
 from abc import ABC, abstractmethod
 from typing import Any, NamedTuple
 
-__all__ = ["Changes", "Entry", "KindSink", "KindStore", "Page"]
+from auburncart.exception import StoreUnavailableError
+
+__all__ = ["Changes", "Entry", "KindSink", "KindStore", "Page", "list_all"]
 
 
 class Entry(NamedTuple):
@@ -69,6 +71,26 @@
         """Delete an object, if it exists."""
 
 
+async def list_all(store: KindStore, kind: str, *, stale: bool = False) -> Page:
+    """Return all objects of a kind in one page, with the revision of the first one.
+
+    :param stale: whether a cheaper answer that may be seconds old is accepted.
+    :raises StoreUnavailableError: the store did not answer, or the list does not end.
+    """
+    page = await store.list(kind, stale=stale)
+    entries, revision = list(page.entries), page.revision
+    names = {""}
+    while page.has_more:
+        after = page.entries[-1].name if page.entries else ""
+        if after in names:
+            reason = f"the list of {kind} makes no progress after {after!r}"
+            raise StoreUnavailableError(reason, step="list", sent=False)
+        names.add(after)
+        page = await store.list(kind, after, stale=stale)
+        entries += page.entries
+    return Page(tuple(entries), False, revision)
+
+
 class KindSink(ABC):
     """Receives the objects of one kind and their changes."""
 
--- a/auburncart/coordination/forwarding/roster.py
+++ b/auburncart/coordination/forwarding/roster.py
@@ -9,7 +9,7 @@
 
 from auburncart.coordination.backoff import Backoff
 from auburncart.coordination.forwarding.journal import Journal
-from auburncart.coordination.forwarding.kinds import Entry, KindStore, Page
+from auburncart.coordination.forwarding.kinds import Entry, KindStore, Page, list_all
 from auburncart.exception import AuburncartError, StoreUnavailableError
 from auburncart.state.entryvm import EntryVm
 from auburncart.state.event import DependencyLost, RosterChanged
@@ -152,15 +152,11 @@
 
     async def _list(self, store: KindStore) -> None:
         direct = store is self._store or not self.relay_sources()
-        page = await store.list(ENTRY_VMS, stale=True)
-        entries = list(page.entries)
-        while page.has_more:
-            page = await store.list(ENTRY_VMS, page.entries[-1].name, stale=True)
-            entries += page.entries
+        page = await list_all(store, ENTRY_VMS, stale=True)
         if direct:
             self._read_at = asyncio.get_running_loop().time()
             self._revision = page.revision
-        found = {entry.name: entry.value for entry in entries if entry.value is not None}
+        found = {entry.name: entry.value for entry in page.entries if entry.value is not None}
         if found.get(self._own.name) == self._own:
             self._registered_at = asyncio.get_running_loop().time()
         found[self._own.name] = self._own
--- a/auburncart/platform/store.py
+++ b/auburncart/platform/store.py
@@ -1,6 +1,5 @@
 """HTTP calls of the platform's store and the bodies of its replies."""
 
-import re
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote
@@ -12,7 +11,7 @@
 from auburncart.coordination.forwarding.roster import ENTRY_VMS
 from auburncart.exception import ProtocolError
 from auburncart.platform.documents import decode_configuration, decode_crash, decode_registration
-from auburncart.protocol.json_items import split_items
+from auburncart.protocol.json_items import find_string, split_items
 from auburncart.protocol.kinds import KindStoreCall, KindStoreCodec
 from auburncart.state.entryvm import EntryVm
 
@@ -48,7 +47,6 @@
     atRev: int  # noqa: N815
 
 
-_NAME = re.compile(rb'"meta"\s*:\s*\{[^{}]*?"name"\s*:\s*"([^"\\]*)"')
 DECODERS: dict[str, Callable[[str, Any], Any]] = {
     CONFIGURATION: lambda name, spec: decode_configuration(spec),
     REPLICAS: decode_registration,
@@ -130,8 +128,8 @@
 
 def _name_in(raw: bytes) -> str:
     """Return the name of an object that cannot be decoded, ``""`` if it is not found."""
-    found = _NAME.search(raw)
-    return found.group(1).decode("utf-8", "replace") if found else ""
+    path = ("meta", "name")
+    return find_string(raw, path) or find_string(raw, ("object", *path)) or ""
 
 
 def _entry(kind: str, raw: msgspec.Raw, deleted: bool) -> Entry:
--- a/auburncart/platform/tests/test_store.py
+++ b/auburncart/platform/tests/test_store.py
@@ -82,6 +82,26 @@
                 self.assertEqual([entry.name for entry in changes.entries], ["odd", "i-1"])
                 self.assertEqual([bool(entry.error) for entry in changes.entries], [True, False])
 
+    def test_the_name_of_an_undecodable_entry_is_read_whatever_it_and_the_rest_hold(self) -> None:
+        """A name with an escaped character was read as an empty one."""
+        codec, nested = PlatformKindStoreCodec(), b"[" * 2000 + b"]" * 2000
+        for name in ("a\u00f1o-9", 'a"b', "a\\b", "\U0001f600", "a,{b"):
+            for encoded in (
+                json.dumps(name).encode(),
+                json.dumps(name, ensure_ascii=False).encode(),
+            ):
+                meta = b'"meta": {"finalizers": [{"name": "f"}], "name" : %b, "rev": 4}' % encoded
+                other = b'"spec": {"x": %b, "meta": {"name": "other"}, "name": "other"}' % nested
+                for raw in (b"{%b, %b}" % (meta, other), b"{%b, %b}" % (other, meta)):
+                    with self.subTest(name=name, raw=raw[:40]):
+                        body = b'{"items":[%b],"atRev":9,"hasMore":true}' % raw
+                        (entry,) = codec.decode_page("servers", body).entries
+                        self.assertEqual((entry.name, entry.value), (name, None))
+                        self.assertTrue(entry.error)
+                        body = b'{"events":[{"deleted":false,"object":%b}],"atRev":9}' % raw
+                        (entry,) = codec.decode_changes("servers", body).entries
+                        self.assertEqual((entry.name, entry.value), (name, None))
+
     def test_a_body_that_is_no_page_is_an_error(self) -> None:
         for body in (b"", b"[]", b'{"items":', b'{"items":[', b'{"items":[1}', b"[" * 100_000):
             with self.subTest(body[:20]), self.assertRaises(ProtocolError):
--- a/auburncart/protocol/json_items.py
+++ b/auburncart/protocol/json_items.py
@@ -2,9 +2,12 @@
 
 import re
 
-__all__ = ["split_items"]
+import msgspec
+
+__all__ = ["find_string", "split_items"]
 
 _TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{},]')
+_MEMBER_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{},:]')
 
 
 def split_items(data: bytes, key: bytes) -> tuple[bytes, list[bytes]]:
@@ -37,3 +40,39 @@
             start = match.end()
         after_key = depth == 1 and token == b'"%b"' % key
     return data, []
+
+
+def find_string(data: bytes, path: tuple[str, ...]) -> str | None:
+    """Return the string at a path of members of an object, None if there is none.
+
+    :param data: a JSON object, whose other members may nest to any depth.
+
+    >>> find_string(b'{"b":{"name":"x"},"a":{"c":[{"name":"y"}],"name":"z"}}', ("a", "name"))
+    'z'
+    """
+    keys: list[str | None] = []
+    key: str | None = None
+    previous = b""
+    for match in _MEMBER_TOKEN.finditer(data):
+        token = match.group()
+        if token in (b"{", b"["):
+            keys.append(key)
+            key = None
+        elif token in (b"}", b"]"):
+            if keys:
+                keys.pop()
+        elif token == b",":
+            key = None
+        elif token == b":":
+            key = _decode_string(previous)
+        elif len(keys) == len(path) and (*keys[1:], key) == path:
+            return _decode_string(token)
+        previous = token
+    return None
+
+
+def _decode_string(token: bytes) -> str | None:
+    try:
+        return msgspec.json.decode(token, type=str)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
