An entry that lacks a field or has another type names no replica

Cause: the decoder declared the fields that the code uses, some with defaults. Names outside Latin-1 failed in the encoding of a request, and a line end in a name could split its head; a VM whose data centre is no text ended the task that keeps links.

--- a/auburncart/daemon/tests/soak/replica.py
+++ b/auburncart/daemon/tests/soak/replica.py
@@ -120,7 +120,7 @@
         """Return its entry for the store."""
         return {
             "service": self.service, "address": self.proxy.address, "zone": data_centre,
-            "configVersion": 1, "slots": SLOTS, "state": state, "coldLeftMs": 0,
+            "configVersion": "v1", "slots": SLOTS, "state": state, "coldLeftMs": 0,
             "sequence": 1, "born": self.born,
         }  # fmt: skip
 
--- a/auburncart/daemon/tests/test_forward.py
+++ b/auburncart/daemon/tests/test_forward.py
@@ -86,7 +86,7 @@
         }  # fmt: skip
         replica = {
             "service": "s", "address": self.address(self.replica), "zone": "dc1", "slots": 2,
-            "state": "ready",
+            "state": "ready", "configVersion": "v1", "coldLeftMs": 0, "sequence": 1,
         }  # fmt: skip
         kinds = {"config": {"main": configuration}, "servers": {"i-1": replica}}
         try:
--- a/auburncart/platform/documents.py
+++ b/auburncart/platform/documents.py
@@ -1,4 +1,4 @@
-"""Objects in the platform's store: configuration, replicas' entries and reports of crashes."""
+"""Objects in the platform's store: configuration, replicas, VMs and reports of crashes."""
 
 import ipaddress
 import re
@@ -8,13 +8,15 @@
 
 from auburncart.state.configuration import CallerLimits, Configuration, Route, Service, Target
 from auburncart.state.crash import CrashReport
+from auburncart.state.entryvm import EntryVm
 from auburncart.state.registration import Registration
 
-__all__ = ["decode_configuration", "decode_crash", "decode_registration"]
+__all__ = ["decode_configuration", "decode_crash", "decode_registration", "decode_vm"]
 
 MAX_SLOTS = 1_000_000
 MAX_WARM_UP_MS = 86_400_000.0
 MAX_PORT = 65_535
+INSTANCE = re.compile("[!-~]+", re.ASCII)  # visible characters, which a header can carry
 PORT = re.compile("[0-9]{1,5}", re.ASCII)
 
 # Fields have the names that the platform uses.
@@ -61,15 +63,25 @@
 
 
 class _ReplicaBody(msgspec.Struct):
+    """What a replica says of itself; an entry that lacks a field is of another writer."""
+
     service: str
     address: str
     zone: str
+    configVersion: str  # noqa: N815  # of the replica's software, not of the configuration
     slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
     state: str
-    coldLeftMs: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_WARM_UP_MS)] = 0.0  # noqa: N815
+    coldLeftMs: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_WARM_UP_MS)]  # noqa: N815
+    sequence: Annotated[int, msgspec.Meta(ge=0)]
     born: int = 0
 
 
+class _VmBody(msgspec.Struct):
+    data_centre: str
+    address: str
+    merge_address: str = ""
+
+
 class _CrashBody(msgspec.Struct):
     digest: str
     attempt: str | None = None
@@ -103,8 +115,11 @@
 def decode_registration(name: str, spec: Any) -> Registration:
     """Return the replica that an entry describes.
 
-    :raises msgspec.ValidationError: a field is missing or invalid, or the state is unknown.
+    :raises msgspec.ValidationError: a field is missing or invalid, the state is unknown, or no
+        header can carry the name.
     """
+    if not INSTANCE.fullmatch(name):
+        raise msgspec.ValidationError(f"invalid name {name!r}")
     body = msgspec.convert(spec, type=_ReplicaBody)
     _check_address(body.address)
     if body.state not in DRAINING_BY_STATE:
@@ -121,6 +136,15 @@
     )
 
 
+def decode_vm(name: str, spec: Any) -> EntryVm:
+    """Return the VM that an object registers.
+
+    :raises msgspec.ValidationError: a field is missing or has the wrong type.
+    """
+    body = msgspec.convert(spec, type=_VmBody)
+    return EntryVm(name, body.data_centre, body.address, body.merge_address)
+
+
 def _check_address(address: str) -> None:
     host, _, port = address.rpartition(":")
     try:
--- a/auburncart/platform/store.py
+++ b/auburncart/platform/store.py
@@ -10,10 +10,14 @@
 from auburncart.coordination.forwarding.quarantine import CRASHES
 from auburncart.coordination.forwarding.roster import ENTRY_VMS
 from auburncart.exception import ProtocolError
-from auburncart.platform.documents import decode_configuration, decode_crash, decode_registration
+from auburncart.platform.documents import (
+    decode_configuration,
+    decode_crash,
+    decode_registration,
+    decode_vm,
+)
 from auburncart.protocol.json_items import find_string, split_items
 from auburncart.protocol.kinds import KindStoreCall, KindStoreCodec
-from auburncart.state.entryvm import EntryVm
 
 __all__ = ["CONFIGURATION", "REPLICAS", "PlatformKindStoreCodec"]
 
@@ -51,9 +55,7 @@
     CONFIGURATION: lambda name, spec: decode_configuration(spec),
     REPLICAS: decode_registration,
     CRASHES: decode_crash,
-    ENTRY_VMS: lambda name, spec: EntryVm(
-        name, spec["data_centre"], spec["address"], spec.get("merge_address", "")
-    ),
+    ENTRY_VMS: decode_vm,
 }
 
 
--- a/auburncart/platform/tests/test_store.py
+++ b/auburncart/platform/tests/test_store.py
@@ -1,6 +1,7 @@
 import json
 import unittest
 
+from auburncart.coordination.forwarding.roster import ENTRY_VMS
 from auburncart.exception import ProtocolError
 from auburncart.platform.store import CONFIGURATION, REPLICAS, PlatformKindStoreCodec
 
@@ -102,6 +103,40 @@
                         (entry,) = codec.decode_changes("servers", body).entries
                         self.assertEqual((entry.name, entry.value), (name, None))
 
+    def test_an_entry_without_a_field_or_of_another_type_names_no_replica(self) -> None:
+        """An entry of another writer was used as a replica of the service that it named."""
+        required = REPLICA.keys() - {"born"}
+        specs = [
+            *({key: value for key, value in REPLICA.items() if key != name} for name in required),
+            *({**REPLICA, name: None} for name in REPLICA),
+            *({**REPLICA, name: [REPLICA[name]]} for name in REPLICA),
+            {**REPLICA, "born": 7.5},
+            {**REPLICA, "sequence": "4"},
+            {**REPLICA, "sequence": -1},
+            {**REPLICA, "coldLeftMs": "0"},
+            {**REPLICA, "configVersion": 1},
+        ]
+        for spec in specs:
+            with self.subTest(spec=spec):
+                (entry,) = self.page(REPLICAS, stored_object("i-1", spec)).entries
+                self.assertIsNone(entry.value)
+                self.assertTrue(entry.error)
+
+    def test_a_name_that_no_header_can_carry_names_no_replica(self) -> None:
+        """The attempt at it ended with an error of the encoding, or split its request's head."""
+        for name in ("i-\u0142", "i-\xf1", "i-1\r\nX-Other: 1", "i 1", "i-\x7f", ""):
+            with self.subTest(name=name):
+                (entry,) = self.page(REPLICAS, stored_object(name, REPLICA)).entries
+                self.assertIsNone(entry.value)
+
+    def test_an_entry_of_another_writer_names_no_vm(self) -> None:
+        """A data centre that is no text ended the task that keeps links to other VMs."""
+        vm = {"data_centre": "dc1", "address": "127.0.0.1:1", "merge_address": "127.0.0.1:2"}
+        specs = [None, [], "x", {}, *({**vm, name: ["x"]} for name in vm)]
+        items = [stored_object(f"x{number}", spec) for number, spec in enumerate(specs)]
+        entries = self.page(ENTRY_VMS, *items, stored_object("vm1", vm)).entries
+        self.assertEqual([entry.name for entry in entries if entry.value], ["vm1"])
+
     def test_a_body_that_is_no_page_is_an_error(self) -> None:
         for body in (b"", b"[]", b'{"items":', b'{"items":[', b'{"items":[1}', b"[" * 100_000):
             with self.subTest(body[:20]), self.assertRaises(ProtocolError):
