A pause that a replica asks for ends by time alone

Cause: the reply to a request from before the pause named none and so ended the state in which the pause is looked at.

Change: a reply without a pause ends that state only after the pause's time.

--- a/auburncart/coordination/forwarding/replica_pace.py
+++ b/auburncart/coordination/forwarding/replica_pace.py
@@ -70,7 +70,8 @@
         if ran or not math.isinf(announced.request_limit):
             self._record_limit(replica, announced.request_limit, now)
         if announced.retry_after <= 0.0:
-            self._resuming = False
+            # A pause ends by time alone: this may answer a request from before it.
+            self._resuming = self._resuming and now < self._paused_until
             return
         pause = min(announced.retry_after, MAX_PAUSE_SECONDS)
         if now >= self._paused_until:
--- a/auburncart/coordination/forwarding/tests/test_announcements.py
+++ b/auburncart/coordination/forwarding/tests/test_announcements.py
@@ -53,6 +53,28 @@
                 self.assertLessEqual(self.arrivals_in_pause(fixture, instance, 4.0), 2)
             fixture.registry.close()
 
+    @virtual_time
+    async def test_the_answers_to_earlier_requests_do_not_end_a_pause(self) -> None:
+        """A replica that worked on some requests and turned others away got one after each."""
+        earlier = {f"id{number}": 0.6 + 0.2 * number for number in range(10)}
+        model = ReplicaModel(
+            reply=lambda request: (ok_reply if request.request_id in earlier else shed_reply)(
+                request
+            )
+        )
+        model.retry_after = 3.0
+        model.service_time = lambda request: earlier.get(request.request_id, 0.01)
+        fixture = GatewayFixture(one_service(attempts=1), connections=20.0)
+        fixture.add("s", 1, model)
+        await asyncio.sleep(START_SECONDS)
+        tasks = []
+        for number in range(80):
+            tasks.append(asyncio.create_task(fixture.gateway.answer(request(number, seconds=9.0))))
+            await asyncio.sleep(0.0 if number < len(earlier) else 0.05)
+        self.assertLessEqual(self.arrivals_in_pause(fixture, "s/1", 3.0), 2)
+        for task in tasks:
+            task.cancel()
+
     @virtual_time
     async def test_a_pause_of_all_replicas_is_refused_at_once(self) -> None:
         fixture = GatewayFixture(one_service())
