--- a/auburncart/daemon/tests/soak/faults.py
+++ b/auburncart/daemon/tests/soak/faults.py
@@ -10,7 +10,7 @@
 from auburncart.daemon.tests.soak.replica import Replica, ReplicaFaults
 from auburncart.daemon.tests.soak.vm import GRACE_SECONDS, Vm
 
-__all__ = ["FAULTS", "FIRST_FAULTS", "SECOND_FAULTS", "Fault", "inject"]
+__all__ = ["FAULTS", "FIRST_FAULTS", "SECOND_FAULTS", "THIRD_FAULTS", "Fault", "inject"]
 
 RESTART_SECONDS = 0.5
 ENTRY_EXPIRY_SECONDS = 3.0  # after which the entry of a crashed replica is removed
@@ -101,6 +101,19 @@
             vm.store_proxy.heal()
 
 
+class LostReplies(Fault):
+    """Replies of the store are lost on connections that stay open, during a change."""
+
+    async def inject(self, environment: Environment, rng: random.Random) -> None:
+        seconds = rng.choice((0.001, 0.5, 2.0))
+        environment.record_fault(ALL, seconds, "store loses replies")
+        environment.store.silent = True
+        await asyncio.sleep(seconds / 2.0)
+        environment.publish(fetch=(rng.choice(FETCH),), once=(rng.choice(ONCE),))
+        await asyncio.sleep(seconds / 2.0)
+        environment.store.silent = False
+
+
 class StorePartition(Fault):
     """Some VMs are partitioned from the store, in one direction or both."""
 
@@ -291,7 +304,8 @@
     ConfigurationChange, PoisonRequests,
 )  # fmt: skip
 SECOND_FAULTS = (*FIRST_FAULTS, BrokenReplies)
-FAULTS = (*SECOND_FAULTS, LimitedReplicas, PausingReplicas, LeavingReplica, PoisonSearches)
+THIRD_FAULTS = (*SECOND_FAULTS, LimitedReplicas, PausingReplicas, LeavingReplica, PoisonSearches)
+FAULTS = (*THIRD_FAULTS, LostReplies, LostReplies)
 
 
 async def inject(
--- a/auburncart/daemon/tests/soak/replica.py
+++ b/auburncart/daemon/tests/soak/replica.py
@@ -103,11 +103,14 @@
             if not serving and not self._ended:
                 address = split_address(self._address)
                 self._server = await asyncio.start_server(self._serve, *address)
+                await self.proxy.listen()
 
     def stop(self) -> None:
-        """Stop immediately, as in a crash."""
+        """Stop immediately, as in a crash; connections are refused until the next start."""
         if self._server is not None:
             self._server.close()
+        if self.proxy.target == self._address:
+            self.proxy.stop_listening()
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -143,7 +146,11 @@
         """Answer one request; return whether the connection stays open."""
         chance = self._rng.random
         read_at = asyncio.get_running_loop().time()
-        not_run = {"X-Not-Executed": "1", "X-Instance-Id": self.instance}
+        not_run = {
+            "X-Attempt-Id": request.headers.get("x-attempt-id", ""),
+            "X-Not-Executed": "1",
+            "X-Instance-Id": self.instance,
+        }
         if request.headers.get("x-target-instance") != self.instance:
             self._note(request, read_at, ran=False)
             writer.write(encode_reply(421, headers=not_run))
--- a/auburncart/daemon/tests/soak/store.py
+++ b/auburncart/daemon/tests/soak/store.py
@@ -44,6 +44,7 @@
         self.error_status = 0  # status of every reply, 0 for none
         self.closing = False
         self.lost_share = 0.0
+        self.silent = False  # whether replies are lost while the connections stay open
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, *split_address(self.address))
@@ -99,6 +100,9 @@
                 status, body = await self._answer(call)
                 if lost:
                     return
+                if self.silent:
+                    await reader.read()  # nothing follows until the client closes the connection
+                    return
                 writer.write(encode_reply(status, json.dumps(body).encode()))
         except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
             pass  # the client has disconnected, or the run has ended
--- a/auburncart/daemon/tests/soak/tcp_proxy.py
+++ b/auburncart/daemon/tests/soak/tcp_proxy.py
@@ -58,11 +58,21 @@
         self.heal()
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, *split_address(self.address))
+        await self.listen()
 
-    def stop(self) -> None:
+    async def listen(self) -> None:
+        """Accept connections, unless the proxy does already."""
+        if self._server is None:
+            self._server = await asyncio.start_server(self._serve, *split_address(self.address))
+
+    def stop_listening(self) -> None:
+        """Refuse connections, as a host without the target's process does."""
         if self._server is not None:
             self._server.close()
+            self._server = None
+
+    def stop(self) -> None:
+        self.stop_listening()
         self.reset()
         for task in self._tasks:
             task.cancel()
