Reload names the settings that wait for a restart; tests of the process share no port

Cause: SIGHUP with a changed address of the store was logged as changed and not applied.

Change: Reloaded has after_restart; test_forward's process has an address of its own by the process id.

The noise 'Event loop is closed' of the test's stand-ins is still there.

--- a/auburncart/daemon/forward.py
+++ b/auburncart/daemon/forward.py
@@ -64,6 +64,7 @@
 CLOCK_CHECK_INTERVAL_SECONDS = 0.5  # half of the balancer's probe interval
 MIN_SUSPENSION_SECONDS = 0.5  # no peer gives up its connections after a shorter one
 METRICS_PATH = "/metrics"
+RELOADABLE = ("grace_seconds",)  # settings that are read again whenever they are needed
 KIND_TYPES: dict[str, type] = {
     CONFIGURATION: Configuration,
     REPLICAS: Registration,
@@ -293,14 +294,15 @@
         return ", ".join(reason for reason, holds in reasons.items() if holds)
 
     def reload(self, settings: ForwardSettings) -> None:
-        """Apply reloaded settings; listeners keep their addresses until a restart.
+        """Apply reloaded settings, as far as that is possible without a restart.
 
         :param settings: checked settings.
         """
         pairs = zip(self._settings._fields, self._settings, settings, strict=True)
         changed = tuple(name for name, old, new in pairs if old != new)
         self._settings = settings
-        self._journal.record(Reloaded(changed, ""))
+        after_restart = tuple(name for name in changed if name not in RELOADABLE)
+        self._journal.record(Reloaded(changed, "", after_restart))
 
     def refuse_reload(self, error: SettingsError) -> None:
         """Keep the current settings, because the reloaded ones have errors."""
--- a/auburncart/daemon/tests/test_forward.py
+++ b/auburncart/daemon/tests/test_forward.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from auburncart.daemon.tests.signals import survives_sighup
+from auburncart.platform.settings import METRICS_PORT
 
 SECONDS = 10.0
 GRACE_SECONDS = 3.0
@@ -27,6 +28,10 @@
         return probe.getsockname()[1]
 
 
+# The port of the metrics is fixed; each run of the tests has an address of its own.
+METRICS_HOST = "127.{}.{}.7".format(*divmod(os.getpid() % 50_000, 250))
+
+
 class ProcessTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.replica = await asyncio.start_server(self.serve_replica, "127.0.0.1", 0)
@@ -37,7 +42,7 @@
         self.folder = tempfile.TemporaryDirectory()
         self.path = Path(self.folder.name, "boot.json")
         self.settings = {
-            "nodeName": "vm1", "ipAddr": "127.0.0.1", "zone": "dc1", "region": "r1",
+            "nodeName": "vm1", "ipAddr": METRICS_HOST, "zone": "dc1", "region": "r1",
             "zones": {"dc1": "r1"}, "bootstrap": False, "portRange": [self.relay, self.relay],
             "listenAddrs": {"front": f"127.0.0.1:{self.front}", "ready": f"127.0.0.1:{self.ready}"},
             "platform": {"address": self.address(self.store)},
@@ -186,6 +191,27 @@
         sighup_task.cancel()
         self.assertIsNone(self.process.returncode)
 
+    async def test_metrics_are_served_on_the_address_of_the_vm_only(self) -> None:
+        """On 127.0.0.1 two runs of the tests on one machine took the port from each other."""
+        await self.wait_until_ready()
+        reader, writer = await asyncio.open_connection(METRICS_HOST, METRICS_PORT)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.assertTrue((await reader.readline()).startswith(b"HTTP/1.1 200"))
+        writer.close()
+
+    async def test_a_changed_address_of_the_store_is_logged_as_waiting_for_a_restart(self) -> None:
+        await self.wait_until_ready()
+        changed = {"platform": {"address": "127.0.0.1:1"}, "contractParams": {"graceS": 2}}
+        self.path.write_text(json.dumps({**self.settings, **changed}))
+        self.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.2)
+        self.assertTrue((await self.ask(self.front, REQUEST)).startswith(b"HTTP/1.1 200"))
+        self.process.send_signal(signal.SIGTERM)
+        await self.process.wait()
+        (reload,) = [line for line in await self.lines() if line["message_type"] == "Reloaded"]
+        self.assertEqual(reload["changed"], ["store_address", "grace_seconds"])
+        self.assertEqual(reload["after_restart"], ["store_address"])
+
     async def test_settings_are_reloaded_and_invalid_ones_change_nothing(self) -> None:
         await self.wait_until_ready()
         self.path.write_text(json.dumps({**self.settings, "contractParams": {"graceS": 2}}))
--- a/auburncart/platform/settings.py
+++ b/auburncart/platform/settings.py
@@ -7,7 +7,7 @@
 from auburncart.exception import SettingsError
 from auburncart.settings.forward import ForwardSettings, RetryBudgetSettings
 
-__all__ = ["SETTINGS_VARIABLE", "load_platform_settings"]
+__all__ = ["METRICS_PORT", "SETTINGS_VARIABLE", "load_platform_settings"]
 
 SETTINGS_VARIABLE = "AUBURNCART_SETTINGS"
 BYTES_PER_MEGABYTE = 1_000_000
--- a/auburncart/state/event.py
+++ b/auburncart/state/event.py
@@ -271,10 +271,14 @@
 
 
 class Reloaded(NamedTuple):
-    """The settings were reloaded."""
+    """The settings were reloaded.
+
+    :param after_restart: changed settings that the process applies when it starts again.
+    """
 
     changed: tuple[str, ...]
     error: str
+    after_restart: tuple[str, ...] = ()
 
 
 class TaskFailed(NamedTuple):
