--- a/auburncart/coordination/forwarding/tests/test_quarantine.py
+++ b/auburncart/coordination/forwarding/tests/test_quarantine.py
@@ -9,6 +9,7 @@
     one_service,
     request,
 )
+from auburncart.coordination.forwarding.tests.store_fixture import LossyStore
 from auburncart.coordination.forwarding.tests.test_relay import StoreModel
 from auburncart.coordination.forwarding.watch_times import watch_times
 from auburncart.exception import StoreUnavailableError
@@ -18,7 +19,8 @@
 from auburncart.state.forward import ForwardedReply, ForwardRequest
 from auburncart.tests.virtual import virtual_time
 
-TIMES = watch_times(4.0, 3.0)
+STABLE_SECONDS = 4.0
+TIMES = watch_times(STABLE_SECONDS, 3.0)
 DOWN_SECONDS = 3.0  # after a crash, until the replica accepts connections again
 
 
@@ -53,6 +55,42 @@
 
 
 class RequestQuarantineTest(unittest.TestCase):
+    @virtual_time
+    async def test_vms_that_lost_the_reply_with_a_report_refuse_within_the_stable_window(
+        self,
+    ) -> None:
+        """They heard of the third crash up to 27 s later and caused more."""
+        store = CrashStore()
+        links = [LossyStore(store, TIMES) for _ in range(9)]
+        fixtures = [GatewayFixture(one_service(attempts=1), store=link) for link in links]
+        tasks = []
+        for number, (fixture, link) in enumerate(zip(fixtures, links, strict=True)):
+            watcher = KindWatcher(
+                link, CRASHES, fixture.quarantine, fixture.journal, random.Random(number), TIMES
+            )
+            tasks.append(asyncio.create_task(watcher.run()))
+            fixture.add("s", 1, crash_on_bad_path(ReplicaModel()))
+        await asyncio.sleep(1.0)
+        for number in range(2):
+            await fixtures[number].gateway.answer(crashing_request(number))
+            await asyncio.sleep(1.0)
+        for link in links[6:]:
+            link.silent = True
+        await fixtures[2].gateway.answer(crashing_request(2))
+        await asyncio.sleep(0.5)
+        for link in links[6:]:
+            link.silent = False
+        reached = sum(len(fixture.replicas.arrivals) for fixture in fixtures)
+        self.assertEqual(reached, 3)
+        await asyncio.sleep(STABLE_SECONDS)
+        for number in range(3, 30):
+            await fixtures[number % 9].gateway.answer(crashing_request(number))
+            await asyncio.sleep(0.5)
+        late = sum(len(fixture.replicas.arrivals) for fixture in fixtures) - reached
+        self.assertEqual(late, 0)
+        for task in tasks:
+            task.cancel()
+
     @virtual_time
     async def test_a_request_that_crashes_replicas_is_refused_by_all_vms(self) -> None:
         store = CrashStore()
