Log what a crashing request is known by, and crashes learned from other VMs

Change: CrashConfirmed has method, host, path, caller and hashes of the query and the body; CrashLearned has the count and the refusal that a report of another VM led to.

--- a/auburncart/coordination/forwarding/quarantine.py
+++ b/auburncart/coordination/forwarding/quarantine.py
@@ -19,7 +19,7 @@
 from auburncart.coordination.forwarding.replica import ReplicaConnectionPool
 from auburncart.exception import AuburncartError
 from auburncart.state.crash import CrashReport
-from auburncart.state.event import CrashConfirmed, CrashDismissed, DependencyLost
+from auburncart.state.event import CrashConfirmed, CrashDismissed, CrashLearned, DependencyLost
 from auburncart.state.forward import ForwardRequest
 
 __all__ = ["CRASHES", "MAX_CONFIRMATIONS", "RequestQuarantine"]
@@ -122,8 +122,18 @@
 
     def apply_change(self, entry: Entry) -> None:
         """Count one report; a deletion is ignored, since reports expire here as well."""
-        if isinstance(entry.value, CrashReport):
-            self._count(entry.name, entry.value)
+        report = entry.value
+        if not isinstance(report, CrashReport):
+            return
+        history = self._histories.get(report.digest)
+        if history is not None and history.knows(entry.name):
+            return
+        self._count(entry.name, report)
+        history, now = self._histories[report.digest], _now()
+        refusal_seconds = max(0.0, history.refused_until - now)
+        self._journal.record(
+            CrashLearned(report.digest, report.replica, history.count(now), refusal_seconds)
+        )
 
     def confirm(self) -> None:
         """Discard requests whose crashes have all expired."""
@@ -157,8 +167,7 @@
         if request.request_id in self._answered:
             history.record_answer(attempt, _now())
         crashes = history.count(_now())
-        event = CrashConfirmed(request.request_id, digest, replica.address, crashes)
-        self._journal.record(event)
+        self._journal.record(_crash_confirmed(request, digest, replica.address, crashes))
         if len(self._reporting) < MAX_REPORTS and crashes <= MAX_REPORTED_CRASHES:
             delay = ANSWER_SECONDS if crashes > 1 else 0.0
             _start_task(self._report(name, report, request, delay), self._reporting)
@@ -211,6 +220,24 @@
     return task
 
 
+def _crash_confirmed(
+    request: ForwardRequest, digest: str, address: str, crashes: int
+) -> CrashConfirmed:
+    query = request.target.partition(b"?")[2]
+    return CrashConfirmed(
+        request.request_id,
+        digest,
+        address,
+        crashes,
+        request.method,
+        request.host,
+        request.path,
+        xxhash.xxh64_hexdigest(query) if query else "",
+        xxhash.xxh64_hexdigest(request.body) if request.body else "",
+        request.caller,
+    )
+
+
 def _hash(name: str) -> str:
     return xxhash.xxh64_hexdigest(name.encode())
 
--- a/auburncart/coordination/forwarding/tests/test_quarantine.py
+++ b/auburncart/coordination/forwarding/tests/test_quarantine.py
@@ -15,6 +15,7 @@
 from auburncart.exception import StoreUnavailableError
 from auburncart.standins.replicas import ReplicaModel
 from auburncart.state.crash import CrashReport
+from auburncart.state.event import CrashConfirmed, CrashLearned
 from auburncart.state.failure import Ran, Refusal
 from auburncart.state.forward import ForwardedReply, ForwardRequest
 from auburncart.tests.virtual import virtual_time
@@ -116,6 +117,30 @@
             self.assertIsInstance(other, ForwardedReply)
         self.assertEqual(sum(fixture.reached("s/1") for fixture in fixtures), 3 + 12)
 
+    @virtual_time
+    async def test_the_log_tells_what_a_digest_stands_for_and_what_other_vms_learned(self) -> None:
+        store = CrashStore()
+        fixtures = [GatewayFixture(one_service(attempts=1), store=store) for _ in range(2)]
+        tasks = []
+        for fixture in fixtures:
+            watcher = KindWatcher(
+                store, CRASHES, fixture.quarantine, fixture.journal, random.Random(1), TIMES
+            )
+            tasks.append(asyncio.create_task(watcher.run()))
+            fixture.add("s", 1, crash_on_bad_path(ReplicaModel()))
+        asked = crashing_request(1)._replace(target=b"/a/bad?page=2", body=b"b")
+        await fixtures[0].gateway.answer(asked)
+        await asyncio.sleep(1.0)
+        (confirmed,) = fixtures[0].journal.of(CrashConfirmed)
+        self.assertEqual((confirmed.method, confirmed.host, confirmed.path), ("GET", "h", "/a/bad"))
+        self.assertEqual(confirmed.caller, asked.caller)
+        self.assertTrue(confirmed.query and confirmed.body)
+        self.assertEqual(fixtures[0].journal.of(CrashLearned), [])
+        (learned,) = fixtures[1].journal.of(CrashLearned)
+        self.assertEqual((learned.digest, learned.crashes), (confirmed.digest, 1))
+        for task in tasks:
+            task.cancel()
+
     @virtual_time
     async def test_a_crash_during_an_outage_is_reported_when_the_store_is_back(self) -> None:
         store = CrashStore()
--- a/auburncart/state/event.py
+++ b/auburncart/state/event.py
@@ -10,6 +10,7 @@
     "ConfigurationInForce",
     "CrashConfirmed",
     "CrashDismissed",
+    "CrashLearned",
     "Delegated",
     "DelegationFailed",
     "DependencyLost",
@@ -216,12 +217,35 @@
 
 
 class CrashConfirmed(NamedTuple):
-    """A replica crashed while running a request; ``crashes`` counts such attempts at it so far."""
+    """A replica crashed while running a request; ``crashes`` counts such attempts at it so far.
+
+    :param query: hash of the query, ``""`` if there is none.
+    :param body: hash of the body, ``""`` if it is empty.
+    """
 
     request: str
     digest: str
     replica: str
     crashes: int
+    method: str
+    host: str
+    path: str
+    query: str
+    body: str
+    caller: str
+
+
+class CrashLearned(NamedTuple):
+    """Another VM reported a crash; ``crashes`` counts those of the same request so far.
+
+    :param replica: hash of the replica's identifier.
+    :param refusal_seconds: time for which the request is refused from now on.
+    """
+
+    digest: str
+    replica: str
+    crashes: int
+    refusal_seconds: float
 
 
 class CrashDismissed(NamedTuple):
@@ -315,6 +339,7 @@
     | DependencyRegained
     | CrashConfirmed
     | CrashDismissed
+    | CrashLearned
     | RosterChanged
     | SourceChanged
     | ReadinessChanged
