Tests that fail: crashing requests of several callers, errors as answers

Cause: the digest of a request has its caller's address, which no replica receives; a reply 500 counts as an answer.

--- a/auburncart/coordination/forwarding/tests/test_crashing_requests.py
+++ b/auburncart/coordination/forwarding/tests/test_crashing_requests.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+from collections.abc import Callable
 
 from auburncart.coordination.forwarding.kind_watcher import KindWatcher
 from auburncart.coordination.forwarding.quarantine import CRASHES
@@ -65,6 +66,17 @@
     return crashing_request(1000 + number)._replace(caller="127.0.0.2:9")
 
 
+def of_another_caller(number: int) -> ForwardRequest:
+    return crashing_request(number)._replace(caller=f"127.0.1.{number}:9")
+
+
+def answer_with_error(model: ReplicaModel, share: float, seed: int) -> None:
+    """Let a replica answer a share of the requests with status 500 before it runs them."""
+    default, chance = model.reply, random.Random(seed)
+    error = Reply(500, b"", (), b"", b"proof")
+    model.reply = lambda asked: error if chance.random() < share else default(asked)
+
+
 def watch_crashes(store: CrashStore, fixtures: list[GatewayFixture]) -> list[asyncio.Task[None]]:
     """Let VMs watch the reports of crashes."""
     watchers = [
@@ -90,7 +102,13 @@
 
 
 class CrashingRequestTest(unittest.TestCase):
-    async def _repeat(self, route: Route, replicas_per_service: int, interval: float) -> int:
+    async def _repeat(
+        self,
+        route: Route,
+        replicas_per_service: int,
+        interval: float,
+        make_request: Callable[[int], ForwardRequest] = crashing_request,
+    ) -> int:
         """Repeat a crashing request at one VM; return the number of late arrivals."""
         fixture = GatewayFixture(route)
         for service in [target.service for target in route.targets] + list(route.shards):
@@ -98,11 +116,66 @@
                 fixture.add(service, number, crash_on_bad_path(ReplicaModel()))
         await asyncio.sleep(BUDGET_SECONDS)
         for number in range(REPEATS):
-            await fixture.gateway.answer(crashing_request(number))
+            await fixture.gateway.answer(make_request(number))
             await asyncio.sleep(interval)
         self.arrivals = len(fixture.replicas.arrivals)
         return late_arrivals(fixture.replicas.arrivals)
 
+    @virtual_time
+    async def test_crashes_of_one_request_from_several_callers_are_counted_together(self) -> None:
+        for route in (one_service(attempts=1), one_service(attempts=3), search(20)):
+            with self.subTest(route=route):
+                late = await self._repeat(route, 4, 5.5, of_another_caller)
+                self.assertLessEqual(late, MAX_LATE_ARRIVALS)
+
+    @virtual_time
+    async def test_crashes_at_several_vms_from_several_callers_are_counted_together(self) -> None:
+        for route in (one_service(attempts=1), search(20)):
+            with self.subTest(route=route):
+                store, replicas = CrashStore(), FakeReplicaDialer()
+                fixtures = [GatewayFixture(route, store=store, replicas=replicas) for _ in range(8)]
+                tasks = watch_crashes(store, fixtures)
+                for fixture in fixtures:
+                    for service in [target.service for target in route.targets] + [*route.shards]:
+                        for number in range(3):
+                            fixture.add(service, number, crash_on_bad_path(ReplicaModel()))
+                await asyncio.sleep(BUDGET_SECONDS)
+                for number in range(24):
+                    await fixtures[3 * number % 8].gateway.answer(of_another_caller(number))
+                    await asyncio.sleep(1.5)
+                self.assertLessEqual(late_arrivals(replicas.arrivals), MAX_LATE_ARRIVALS)
+                for task in tasks:
+                    task.cancel()
+
+    @virtual_time
+    async def test_errors_of_some_replicas_do_not_excuse_the_crashes_of_a_search(self) -> None:
+        for seed in range(1, 6):
+            with self.subTest(seed=seed):
+                fixture = GatewayFixture(search(20))
+                for index, shard in enumerate(search(20).shards):
+                    failing = fixture.add(shard, 0, crash_on_bad_path(ReplicaModel()))
+                    answer_with_error(failing, 0.1, 100 * seed + index)
+                    fixture.add(shard, 1, crash_on_bad_path(ReplicaModel()))
+                await asyncio.sleep(BUDGET_SECONDS)
+                for number in range(REPEATS):
+                    await fixture.gateway.answer(crashing_request(number))
+                    await asyncio.sleep(2.0)
+                late = late_arrivals(fixture.replicas.arrivals)
+                self.assertLessEqual(late, MAX_LATE_ARRIVALS)
+
+    @virtual_time
+    async def test_an_error_in_reply_to_a_trial_does_not_end_the_quarantine(self) -> None:
+        fixture = GatewayFixture(search(20))
+        for index, shard in enumerate(search(20).shards):
+            for number in range(2):
+                model = fixture.add(shard, number, crash_on_bad_path(ReplicaModel()))
+                answer_with_error(model, float(index == 0), 1)
+        await asyncio.sleep(BUDGET_SECONDS)
+        for number in range(30):
+            await fixture.gateway.answer(crashing_request(number))
+            await asyncio.sleep(4.5)
+        self.assertLessEqual(late_arrivals(fixture.replicas.arrivals), MAX_LATE_ARRIVALS)
+
     @virtual_time
     async def test_each_crash_of_a_retried_request_is_counted(self) -> None:
         late = await self._repeat(one_service(attempts=3), 4, 5.5)
