Quarantine knows a crashing request again whoever sends it

Cause: the digest that counts crashes had the caller's address. The request came from an address of each data centre, so each VM counted one crash of another request. Class: a guard that knows a request again by more than what it guards receives; no replica sees the caller's address. Evidence: in the record each VM has a digest of its own for the request, and the two that came twice came to the same VM. The count never exceeded 2. Change: the digest is made of what replicas receive. Identical requests of many callers share it now, so replicas lost within a second count as one if the request had been answered in the minute before; the report says so. A request of many callers during the crash of 8 of 12 replicas is still served (fails without the second change); one that was answered before it crashes replicas is refused after three.

--- a/auburncart/coordination/forwarding/quarantine.py
+++ b/auburncart/coordination/forwarding/quarantine.py
@@ -30,7 +30,7 @@
 MAX_CONFIRMATIONS = 20  # at a time, so that a mass crash doesn't cause a wave of connections
 MAX_CHECKS = 2 * CRASH_THRESHOLD  # of one request at a time
 MAX_ALL_CHECKS = 300  # at a time
-MAX_ANSWERED = 2000  # attempts whose answers are remembered, some seconds of traffic
+MAX_ANSWERED = 2000  # attempts and requests whose answers are remembered, some seconds of traffic
 MAX_REPORTED_CRASHES = 2 * CRASH_THRESHOLD  # of one request
 MAX_REPORTS = 200  # at a time; the store holds each for the duration of the quarantine
 INITIAL_BACKOFF_SECONDS = 0.2  # a report is needed from the caller's next retry on
@@ -50,6 +50,7 @@
         self._journal = journal
         self._histories: dict[str, CrashHistory] = {}
         self._answered: OrderedDict[str, None] = OrderedDict()
+        self._answered_at: OrderedDict[str, float] = OrderedDict()  # by digest of the request
         self._checks: dict[str, set[asyncio.Task[None]]] = {}
         self._connects = asyncio.Semaphore(MAX_CONFIRMATIONS)
         self._reporting: set[asyncio.Task[None]] = set()
@@ -103,9 +104,11 @@
 
     def record_answer(self, request: ForwardRequest) -> None:
         """Record that a replica ran a request and answered it."""
-        self._answered[request.request_id] = None
-        while len(self._answered) > MAX_ANSWERED:
-            self._answered.popitem(last=False)
+        if request.request_id not in self._answered:
+            self._answered[request.request_id] = None
+            self._answered_at[digest_of(request)] = _now()
+            _trim(self._answered)
+            _trim(self._answered_at)
         history = self._history_of(request)
         if history is None:
             return
@@ -157,7 +160,8 @@
                 return
         replica = pool.registration
         attempt = _hash(request.request_id)
-        report = CrashReport(digest, attempt, _hash(replica.instance), silent)
+        answered = _now() - self._answered_at.get(digest, float("-inf")) < REFUSAL_SECONDS
+        report = CrashReport(digest, attempt, _hash(replica.instance), silent, answered)
         name = SEPARATOR.join((digest, attempt, report.replica))
         history = self._histories.get(digest)
         if history is not None and history.knows(name):
@@ -238,6 +242,12 @@
     )
 
 
+def _trim(answers: OrderedDict[str, Any]) -> None:
+    """Remove the oldest answers above the maximum number."""
+    while len(answers) > MAX_ANSWERED:
+        answers.popitem(last=False)
+
+
 def _hash(name: str) -> str:
     return xxhash.xxh64_hexdigest(name.encode())
 
@@ -247,10 +257,12 @@
 
 
 def digest_of(request: ForwardRequest) -> str:
-    """Return a digest of a request and its caller, the same for each repetition."""
-    caller = request.caller.rpartition(":")[0]
-    parts = (request.method, request.host, caller)
-    hashed = xxhash.xxh3_128("\n".join(parts).encode())
+    """Return a digest of what replicas receive of a request, the same for each repetition.
+
+    The caller is left out: no replica sees who sent a request, and a repetition may come from
+    another address.
+    """
+    hashed = xxhash.xxh3_128(f"{request.method}\n{request.host}\n".encode())
     hashed.update(request.target)
     hashed.update(b"\n")
     hashed.update(request.body)
--- a/auburncart/platform/documents.py
+++ b/auburncart/platform/documents.py
@@ -87,6 +87,7 @@
     attempt: str | None = None
     replica: str = ""
     silent: bool = False
+    answered: bool = False
 
 
 IDEMPOTENT = "idempotent"
@@ -162,7 +163,7 @@
     """
     body = msgspec.convert(spec, type=_CrashBody)
     attempt = name if body.attempt is None else body.attempt
-    return CrashReport(body.digest, attempt, body.replica, body.silent)
+    return CrashReport(body.digest, attempt, body.replica, body.silent, body.answered)
 
 
 def _route(body: _RouteBody) -> Route:
--- a/auburncart/state/crash.py
+++ b/auburncart/state/crash.py
@@ -8,13 +8,15 @@
 class CrashReport(NamedTuple):
     """A replica that crashed during one attempt of a caller.
 
-    :param digest: digest of the request and its caller, the same for every attempt.
+    :param digest: digest of the request, the same for every attempt of every caller.
     :param attempt: hash of the attempt's identifier.
     :param replica: hash of the replica's identifier.
     :param silent: whether the replica fell silent instead of closing its connections.
+    :param answered: whether replicas had answered the request shortly before.
     """
 
     digest: str
     attempt: str = ""
     replica: str = ""
     silent: bool = False
+    answered: bool = False
