An error reply excuses no crash and ends no quarantine

Cause: a reply 500 counted as an answer, so that all crashes of that attempt counted as one and were not reported, and a trial that got one ended the quarantine. A replica in trouble sends 500 without running the request. Change: only replies without an error excuse crashes; an error in reply to a trial repeats the refusal.

--- a/auburncart/coordination/forwarding/attempts.py
+++ b/auburncart/coordination/forwarding/attempts.py
@@ -270,7 +270,7 @@
             reason = f"status {reply.status}, not run"
             return Failure(Step.REPLY, address, reason, FailureCode.SHED, True)
         self._last_reply = reply
-        self._context.quarantine.record_answer(self._request)
+        self._context.quarantine.record_error(self._request)
         attempt.pool.record_failure()
         return Failure(Step.REPLY, address, f"status {reply.status}", FailureCode.REFUSED, True)
 
--- a/auburncart/coordination/forwarding/crash_history.py
+++ b/auburncart/coordination/forwarding/crash_history.py
@@ -55,6 +55,10 @@
             self._period = min(MAX_REFUSAL_SECONDS, 2.0 * self._period or REFUSAL_SECONDS)
             self._refused_until = now + self._period
 
+    def repeat_refusal(self, now: float) -> None:
+        """Refuse the request for as long as before, since its trial has shown nothing."""
+        self._refused_until = now + self._period
+
     def record_answer(self, attempt: str, now: float) -> None:
         """Take the crashes during an attempt for coincidence, since a replica has answered it.
 
--- a/auburncart/coordination/forwarding/quarantine.py
+++ b/auburncart/coordination/forwarding/quarantine.py
@@ -102,8 +102,17 @@
         task = _start_task(self._confirm(digest, request, pool, silent), checks)
         task.add_done_callback(lambda _: checks or self._checks.pop(digest, None))
 
+    def record_error(self, request: ForwardRequest) -> None:
+        """Record that a replica answered a request with an error, which excuses no crash.
+
+        A replica in trouble may send one without having run the request.
+        """
+        history = self._history_of(request)
+        if history is not None and history.on_trial(_now()):
+            history.repeat_refusal(_now())
+
     def record_answer(self, request: ForwardRequest) -> None:
-        """Record that a replica ran a request and answered it."""
+        """Record that a replica ran a request and answered it without an error."""
         if request.request_id not in self._answered:
             self._answered[request.request_id] = None
             self._answered_at[digest_of(request)] = _now()
--- a/auburncart/coordination/forwarding/scatter_gather.py
+++ b/auburncart/coordination/forwarding/scatter_gather.py
@@ -121,7 +121,7 @@
             return NO_BUDGET
         policy = AttemptPolicy(shard, search.priority, True, 1, search.hedge_delay, search.until)
         outcome = await Attempts(search.request, policy, self._context).run()
-        return None if outcome.reply is not None else outcome.failure
+        return outcome.failure
 
     @property
     def _part_count(self) -> int:
