Quarantine counts crashes of one path while only its query changes

Cause: the digest has the query, and the users' page promises only the same path, caller and body; a query that changes with each repetition makes each crash the first one. Change: a second history for each path. It counts seconds with crashes of two queries or more, while no request for the path is answered here or at the VM that reports; any answer forgets it. Digests have a module of their own. One, two or five bad queries refuse no other query of a path that is answered, nor does a bad query alone; a crash of 8 of 12 replicas refuses none.

--- a/auburncart/coordination/forwarding/crash_history.py
+++ b/auburncart/coordination/forwarding/crash_history.py
@@ -1,10 +1,17 @@
-"""Crashes of replicas during one request and its repetitions, and when it is refused."""
+"""Crashes of replicas during repetitions of a request, and when these are refused."""
 
+from abc import ABC, abstractmethod
 from typing import NamedTuple
 
 from auburncart.state.crash import CrashReport
 
-__all__ = ["CRASH_THRESHOLD", "REFUSAL_SECONDS", "CrashHistory"]
+__all__ = [
+    "CRASH_THRESHOLD",
+    "REFUSAL_SECONDS",
+    "CrashHistory",
+    "PathCrashHistory",
+    "RequestCrashHistory",
+]
 
 CRASH_THRESHOLD = 3  # fewer crashes may be coincidence
 COINCIDENCE_SECONDS = 1.0  # within which replicas that crash together are lost
@@ -18,26 +25,23 @@
     report: CrashReport
 
 
-class CrashHistory:
-    """Decides from its crashes when a request is refused; works like a circuit breaker.
+class CrashHistory(ABC):
+    """Decides from their crashes when requests are refused; works like a circuit breaker.
 
-    Replicas that are lost within a moment count as one crash if another replica answered the
-    attempt, or the request shortly before, since a request that crashes what runs it has no
-    answers. After three crashes the request is refused for a time; then it is on trial, and the
-    next crash refuses it for twice as long.
+    After three crashes requests are refused for a time; then they are on trial, and the next crash
+    refuses them for twice as long. Subclasses decide which crashes are no coincidence.
 
     All times are loop times in seconds.
     """
 
     def __init__(self) -> None:
         self._crashes: dict[str, _Crash] = {}
-        self._answered: set[str] = set()
         self._refused_until = 0.0
         self._period = 0.0
 
     @property
     def refused_until(self) -> float:
-        """Time until which the request is refused, 0 if it never was."""
+        """Time until which requests are refused, 0 if they never were."""
         return self._refused_until
 
     def knows(self, name: str) -> bool:
@@ -56,9 +60,39 @@
             self._refused_until = now + self._period
 
     def repeat_refusal(self, now: float) -> None:
-        """Refuse the request for as long as before, since its trial has shown nothing."""
+        """Refuse requests for as long as before, since a trial has shown nothing."""
         self._refused_until = now + self._period
 
+    @abstractmethod
+    def count(self, now: float) -> int:
+        """Return the number of recent crashes that are no coincidence."""
+
+    def on_trial(self, now: float) -> bool:
+        """Return whether requests were refused before and may be sent to one replica."""
+        return self._period > 0.0 and now >= self._refused_until
+
+    def expired(self, now: float) -> bool:
+        """Return whether the history can be forgotten."""
+        if self._period:
+            return now >= self._refused_until + PROBATION_SECONDS
+        return all(now - crash.at >= REFUSAL_SECONDS for crash in self._crashes.values())
+
+    def _recent(self, now: float) -> list[_Crash]:
+        return [crash for crash in self._crashes.values() if now - crash.at < REFUSAL_SECONDS]
+
+
+class RequestCrashHistory(CrashHistory):
+    """Crashes during one request and its repetitions.
+
+    Replicas that are lost within a moment count as one crash if another replica answered the
+    attempt, or the request shortly before, since a request that crashes what runs it has no
+    answers.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._answered: set[str] = set()
+
     def record_answer(self, attempt: str, now: float) -> None:
         """Take the crashes during an attempt for coincidence, since a replica has answered it.
 
@@ -72,9 +106,7 @@
         """Return the number of recent crashes that are no coincidence."""
         replicas_by_attempt: dict[str, set[str]] = {}
         coincidences: list[float] = []
-        for at, report in self._crashes.values():
-            if now - at >= REFUSAL_SECONDS:
-                continue
+        for at, report in self._recent(now):
             if report.answered or report.attempt in self._answered:
                 coincidences.append(at)
                 continue
@@ -84,15 +116,20 @@
         crashes = sum(max(1, len(replicas)) for replicas in replicas_by_attempt.values())
         return crashes + _count_moments(coincidences)
 
-    def on_trial(self, now: float) -> bool:
-        """Return whether the request was refused before and may be sent to one replica."""
-        return self._period > 0.0 and now >= self._refused_until
 
-    def expired(self, now: float) -> bool:
-        """Return whether the history can be forgotten."""
-        if self._period:
-            return now >= self._refused_until + PROBATION_SECONDS
-        return all(now - crash.at >= REFUSAL_SECONDS for crash in self._crashes.values())
+class PathCrashHistory(CrashHistory):
+    """Crashes during requests for one path with different queries.
+
+    It is for requests whose query changes with each repetition. While other queries of the path
+    are answered, it counts nothing: then the query matters, and each has a history of its own.
+    """
+
+    def count(self, now: float) -> int:
+        """Return the number of moments with recent crashes, 0 if one query caused them all."""
+        crashes = self._recent(now)
+        if len({crash.report.digest for crash in crashes}) < 2:
+            return 0
+        return _count_moments([crash.at for crash in crashes])
 
 
 def _count_moments(times: list[float]) -> int:
--- a/auburncart/coordination/forwarding/quarantine.py
+++ b/auburncart/coordination/forwarding/quarantine.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, MutableMapping
 from typing import Any
 
 import xxhash
@@ -13,10 +13,13 @@
     CRASH_THRESHOLD,
     REFUSAL_SECONDS,
     CrashHistory,
+    PathCrashHistory,
+    RequestCrashHistory,
 )
 from auburncart.coordination.forwarding.journal import Journal
 from auburncart.coordination.forwarding.kinds import Entry, KindSink, KindStore
 from auburncart.coordination.forwarding.replica import ReplicaConnectionPool
+from auburncart.coordination.forwarding.request_digests import RequestDigests, digests_of
 from auburncart.exception import AuburncartError
 from auburncart.state.crash import CrashReport
 from auburncart.state.event import CrashConfirmed, CrashDismissed, CrashLearned, DependencyLost
@@ -30,7 +33,7 @@
 MAX_CONFIRMATIONS = 20  # at a time, so that a mass crash doesn't cause a wave of connections
 MAX_CHECKS = 2 * CRASH_THRESHOLD  # of one request at a time
 MAX_ALL_CHECKS = 300  # at a time
-MAX_ANSWERED = 2000  # attempts and requests whose answers are remembered, some seconds of traffic
+MAX_ANSWERED = 2000  # of attempts, requests and paths each; some seconds of traffic
 MAX_REPORTED_CRASHES = 2 * CRASH_THRESHOLD  # of one request
 MAX_REPORTS = 200  # at a time; the store holds each for the duration of the quarantine
 INITIAL_BACKOFF_SECONDS = 0.2  # a report is needed from the caller's next retry on
@@ -48,9 +51,11 @@
     def __init__(self, store: KindStore, journal: Journal) -> None:
         self._store = store
         self._journal = journal
-        self._histories: dict[str, CrashHistory] = {}
-        self._answered: OrderedDict[str, None] = OrderedDict()
-        self._answered_at: OrderedDict[str, float] = OrderedDict()  # by digest of the request
+        self._histories: dict[str, RequestCrashHistory] = {}
+        self._path_histories: dict[str, PathCrashHistory] = {}
+        self._answered_attempts = _RecentAnswers()
+        self._answered_requests = _RecentAnswers()
+        self._answered_paths = _RecentAnswers()
         self._checks: dict[str, set[asyncio.Task[None]]] = {}
         self._connects = asyncio.Semaphore(MAX_CONFIRMATIONS)
         self._reporting: set[asyncio.Task[None]] = set()
@@ -63,19 +68,20 @@
 
     def retry_delay(self, request: ForwardRequest) -> float:
         """Return the seconds for which a request must not be sent, 0 if it may be."""
-        history = self._history_of(request)
-        return max(0.0, history.refused_until - _now()) if history else 0.0
+        now = _now()
+        histories = self._histories_of(request)
+        return max([0.0, *(history.refused_until - now for history in histories)])
 
     def on_trial(self, request: ForwardRequest) -> bool:
         """Return whether a request that was refused may now be sent to one replica only."""
-        history = self._history_of(request)
-        return history is not None and history.on_trial(_now())
+        now = _now()
+        return any(history.on_trial(now) for history in self._histories_of(request))
 
     def suspects(self, request: ForwardRequest) -> bool:
         """Return whether the replicas lost so far suffice to refuse a request if they crashed."""
         if not self._checks and not self._histories:
             return False
-        digest = digest_of(request)
+        digest = digests_of(request).request
         history = self._histories.get(digest)
         count = history.count(_now()) if history else 0
         return count + len(self._checks.get(digest, ())) >= CRASH_THRESHOLD
@@ -83,7 +89,8 @@
     async def settle(self, request: ForwardRequest) -> None:
         """Wait until it is known whether the replicas lost to a suspected request crashed."""
         await asyncio.sleep(0.0)  # count the losses that came in together first
-        while self.suspects(request) and (checks := self._checks.get(digest_of(request))):
+        digest = digests_of(request).request
+        while self.suspects(request) and (checks := self._checks.get(digest)):
             await asyncio.wait(checks)
 
     def record_loss(
@@ -93,13 +100,13 @@
 
         :param silent: whether it did not reply instead.
         """
-        digest = digest_of(request)
+        digest = digests_of(request).request
         all_checks = sum(map(len, self._checks.values()))
         if len(self._checks.get(digest, ())) >= MAX_CHECKS or all_checks >= MAX_ALL_CHECKS:
             self._dismiss(request, pool, "too many other replicas are being checked")
             return
         checks = self._checks.setdefault(digest, set())
-        task = _start_task(self._confirm(digest, request, pool, silent), checks)
+        task = _start_task(self._confirm(request, pool, silent), checks)
         task.add_done_callback(lambda _: checks or self._checks.pop(digest, None))
 
     def record_error(self, request: ForwardRequest) -> None:
@@ -107,24 +114,28 @@
 
         A replica in trouble may send one without having run the request.
         """
-        history = self._history_of(request)
-        if history is not None and history.on_trial(_now()):
-            history.repeat_refusal(_now())
+        now = _now()
+        for history in self._histories_of(request):
+            if history.on_trial(now):
+                history.repeat_refusal(now)
 
     def record_answer(self, request: ForwardRequest) -> None:
         """Record that a replica ran a request and answered it without an error."""
-        if request.request_id not in self._answered:
-            self._answered[request.request_id] = None
-            self._answered_at[digest_of(request)] = _now()
-            _trim(self._answered)
-            _trim(self._answered_at)
-        history = self._history_of(request)
+        now = _now()
+        is_first = self._answered_attempts.add(request.request_id, now)
+        if not is_first and not self._histories and not self._path_histories:
+            return
+        digests = digests_of(request)
+        self._answered_requests.add(digests.request, now)
+        self._answered_paths.add(digests.path, now)
+        self._path_histories.pop(digests.path, None)
+        history = self._histories.get(digests.request)
         if history is None:
             return
-        if history.on_trial(_now()):
-            del self._histories[digest_of(request)]
+        if history.on_trial(now):
+            del self._histories[digests.request]
             return
-        history.record_answer(_hash(request.request_id), _now())
+        history.record_answer(_hash(request.request_id), now)
 
     def replace(self, entries: tuple[Entry, ...]) -> None:
         """Count all reports in the store."""
@@ -141,56 +152,85 @@
         if history is not None and history.knows(entry.name):
             return
         self._count(entry.name, report)
-        history, now = self._histories[report.digest], _now()
-        refusal_seconds = max(0.0, history.refused_until - now)
+        now = _now()
+        histories = self._histories_by(RequestDigests(report.digest, report.path_digest))
+        refused_until = max(history.refused_until for history in histories)
         self._journal.record(
-            CrashLearned(report.digest, report.replica, history.count(now), refusal_seconds)
+            CrashLearned(
+                report.digest,
+                report.path_digest,
+                report.replica,
+                self._histories[report.digest].count(now),
+                max(0.0, refused_until - now),
+            )
         )
 
     def confirm(self) -> None:
-        """Discard requests whose crashes have all expired."""
+        """Discard requests and paths whose crashes have all expired."""
         now = _now()
-        for digest in [key for key, past in self._histories.items() if past.expired(now)]:
-            del self._histories[digest]
+        _discard_expired(self._histories, now)
+        _discard_expired(self._path_histories, now)
 
     def store_recovered(self, failed_at: float) -> None:
         """Do nothing: known crashes stay valid during an outage of the store."""
 
-    def _history_of(self, request: ForwardRequest) -> CrashHistory | None:
-        return self._histories.get(digest_of(request)) if self._histories else None
+    def _histories_of(self, request: ForwardRequest) -> list[CrashHistory]:
+        if not self._histories and not self._path_histories:
+            return []
+        return self._histories_by(digests_of(request))
+
+    def _histories_by(self, digests: RequestDigests) -> list[CrashHistory]:
+        found = self._histories.get(digests.request), self._path_histories.get(digests.path)
+        return [history for history in found if history is not None]
 
     async def _confirm(
-        self, digest: str, request: ForwardRequest, pool: ReplicaConnectionPool, silent: bool
+        self, request: ForwardRequest, pool: ReplicaConnectionPool, silent: bool
     ) -> None:
         await asyncio.sleep(CONFIRMATION_DELAY_SECONDS)
         async with self._connects:
             if await pool.accepts_connections():
                 self._dismiss(request, pool, "it accepts connections")
                 return
-        replica = pool.registration
-        attempt = _hash(request.request_id)
-        answered = _now() - self._answered_at.get(digest, float("-inf")) < REFUSAL_SECONDS
-        report = CrashReport(digest, attempt, _hash(replica.instance), silent, answered)
-        name = SEPARATOR.join((digest, attempt, report.replica))
-        history = self._histories.get(digest)
+        report = self._make_report(request, pool.registration.instance, silent)
+        name = SEPARATOR.join((report.digest, report.attempt, report.replica))
+        history = self._histories.get(report.digest)
         if history is not None and history.knows(name):
             return
         self._count(name, report)
-        history = self._histories[digest]
-        if request.request_id in self._answered:
-            history.record_answer(attempt, _now())
+        history = self._histories[report.digest]
+        if self._answered_attempts.has(request.request_id):
+            history.record_answer(report.attempt, _now())
         crashes = history.count(_now())
-        self._journal.record(_crash_confirmed(request, digest, replica.address, crashes))
+        address = pool.registration.address
+        self._journal.record(_crash_confirmed(request, report, address, crashes))
         if len(self._reporting) < MAX_REPORTS and crashes <= MAX_REPORTED_CRASHES:
             delay = ANSWER_SECONDS if crashes > 1 else 0.0
             _start_task(self._report(name, report, request, delay), self._reporting)
 
+    def _make_report(self, request: ForwardRequest, instance: str, silent: bool) -> CrashReport:
+        digests, since = digests_of(request), _now() - REFUSAL_SECONDS
+        return CrashReport(
+            digests.request,
+            _hash(request.request_id),
+            _hash(instance),
+            silent,
+            self._answered_requests.has(digests.request, since),
+            digests.path,
+            self._answered_paths.has(digests.path, since),
+        )
+
     def _count(self, name: str, report: CrashReport) -> None:
-        self._histories.setdefault(report.digest, CrashHistory()).add(name, report, _now())
+        now = _now()
+        history = self._histories.setdefault(report.digest, RequestCrashHistory())
+        history.add(name, report, now)
+        path, since = report.path_digest, now - REFUSAL_SECONDS
+        if path and not report.path_answered and not self._answered_paths.has(path, since):
+            self._path_histories.setdefault(path, PathCrashHistory()).add(name, report, now)
 
     def _dismiss(self, request: ForwardRequest, pool: ReplicaConnectionPool, reason: str) -> None:
         replica = pool.registration.address
-        event = CrashDismissed(request.request_id, digest_of(request), replica, reason)
+        digest = digests_of(request).request
+        event = CrashDismissed(request.request_id, digest, replica, reason)
         self._journal.record(event)
 
     async def _report(
@@ -204,7 +244,7 @@
         until = _now() + REFUSAL_SECONDS
         if delay:
             await asyncio.sleep(delay)
-            if request.request_id in self._answered:
+            if self._answered_attempts.has(request.request_id):
                 return
         await self._retry(lambda: self._store.put(CRASHES, name, report._asdict()), until)
         await asyncio.sleep(until - _now())
@@ -223,6 +263,26 @@
                 await asyncio.sleep(backoff.next_delay())
 
 
+class _RecentAnswers:
+    """Times of the last answers by key, up to a maximum number."""
+
+    def __init__(self) -> None:
+        self._times: OrderedDict[str, float] = OrderedDict()
+
+    def add(self, key: str, now: float) -> bool:
+        """Record an answer; return whether its key is new."""
+        is_new = key not in self._times
+        self._times[key] = now
+        self._times.move_to_end(key)
+        while len(self._times) > MAX_ANSWERED:
+            self._times.popitem(last=False)
+        return is_new
+
+    def has(self, key: str, since: float = float("-inf")) -> bool:
+        """Return whether there was an answer after a time."""
+        return self._times.get(key, float("-inf")) > since
+
+
 def _start_task(
     coroutine: Coroutine[Any, Any, None], tasks: set[asyncio.Task[None]]
 ) -> asyncio.Task[None]:
@@ -234,12 +294,13 @@
 
 
 def _crash_confirmed(
-    request: ForwardRequest, digest: str, address: str, crashes: int
+    request: ForwardRequest, report: CrashReport, address: str, crashes: int
 ) -> CrashConfirmed:
     query = request.target.partition(b"?")[2]
     return CrashConfirmed(
         request.request_id,
-        digest,
+        report.digest,
+        report.path_digest,
         address,
         crashes,
         request.method,
@@ -251,10 +312,9 @@
     )
 
 
-def _trim(answers: OrderedDict[str, Any]) -> None:
-    """Remove the oldest answers above the maximum number."""
-    while len(answers) > MAX_ANSWERED:
-        answers.popitem(last=False)
+def _discard_expired(histories: MutableMapping[str, Any], now: float) -> None:
+    for digest in [key for key, history in histories.items() if history.expired(now)]:
+        del histories[digest]
 
 
 def _hash(name: str) -> str:
@@ -263,16 +323,3 @@
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
-
-
-def digest_of(request: ForwardRequest) -> str:
-    """Return a digest of what replicas receive of a request, the same for each repetition.
-
-    The caller is left out: no replica sees who sent a request, and a repetition may come from
-    another address.
-    """
-    hashed = xxhash.xxh3_128(f"{request.method}\n{request.host}\n".encode())
-    hashed.update(request.target)
-    hashed.update(b"\n")
-    hashed.update(request.body)
-    return hashed.hexdigest()
--- a/auburncart/coordination/forwarding/tests/test_crashing_requests.py
+++ b/auburncart/coordination/forwarding/tests/test_crashing_requests.py
@@ -16,6 +16,7 @@
 from auburncart.coordination.forwarding.tests.test_quarantine import (
     DOWN_SECONDS,
     CrashStore,
+    crash_on,
     crash_on_bad_path,
     crashing_request,
 )
@@ -24,7 +25,7 @@
 from auburncart.exception import StoreUnavailableError
 from auburncart.standins.replicas import Arrival, FakeReplicaDialer, ReplicaModel
 from auburncart.state.configuration import Route
-from auburncart.state.event import CrashConfirmed
+from auburncart.state.event import CrashConfirmed, CrashLearned
 from auburncart.state.failure import Ran, Refusal
 from auburncart.state.forward import ForwardedReply, ForwardRequest, MergedAnswer, Reply
 from auburncart.tests.virtual import virtual_time
@@ -43,6 +44,13 @@
     return sum(when > at[2] + SETTLING_SECONDS for when in at) if len(at) > 2 else 0
 
 
+def late_repetitions(arrivals: list[Arrival]) -> int:
+    """Return the number of attempts of callers that arrived after the third crash has settled."""
+    bad = [arrival for arrival in arrivals if arrival.request.path == "/a/bad"]
+    late = bad[2].at + SETTLING_SECONDS if len(bad) > 2 else float("inf")
+    return len({arrival.request.request_id for arrival in bad if arrival.at > late})
+
+
 def crash(model: ReplicaModel) -> None:
     """Crash a replica, with all its requests in flight; it is back after some seconds."""
     model.crash()
@@ -71,6 +79,18 @@
     return crashing_request(number)._replace(caller=f"127.0.1.{number}:9")
 
 
+def with_another_query(number: int) -> ForwardRequest:
+    return crashing_request(number)._replace(target=b"/a/bad?page=%d" % number)
+
+
+def asked_with(target: bytes, number: int) -> ForwardRequest:
+    return request(number)._replace(target=target)
+
+
+def has_bad_query(asked: ForwardRequest) -> bool:
+    return b"?bad" in asked.target
+
+
 def answer_with_error(model: ReplicaModel, share: float, seed: int) -> None:
     """Let a replica answer a share of the requests with status 500 before it runs them."""
     default, chance = model.reply, random.Random(seed)
@@ -119,8 +139,28 @@
         for number in range(REPEATS):
             await fixture.gateway.answer(make_request(number))
             await asyncio.sleep(interval)
-        self.arrivals = len(fixture.replicas.arrivals)
-        return late_arrivals(fixture.replicas.arrivals)
+        self.arrivals = fixture.replicas.arrivals
+        return late_arrivals(self.arrivals)
+
+    async def _repeat_at_several_vms(
+        self, route: Route, make_request: Callable[[int], ForwardRequest]
+    ) -> int:
+        """Repeat a crashing request at eight VMs; return the number of late arrivals."""
+        store, replicas = CrashStore(), FakeReplicaDialer()
+        fixtures = [GatewayFixture(route, store=store, replicas=replicas) for _ in range(8)]
+        tasks = watch_crashes(store, fixtures)
+        for fixture in fixtures:
+            for service in [target.service for target in route.targets] + list(route.shards):
+                for number in range(3):
+                    fixture.add(service, number, crash_on_bad_path(ReplicaModel()))
+        await asyncio.sleep(BUDGET_SECONDS)
+        for number in range(24):
+            await fixtures[3 * number % 8].gateway.answer(make_request(number))
+            await asyncio.sleep(1.5)
+        for task in tasks:
+            task.cancel()
+        self.arrivals = replicas.arrivals
+        return late_arrivals(self.arrivals)
 
     @virtual_time
     async def test_crashes_of_one_request_from_several_callers_are_counted_together(self) -> None:
@@ -133,21 +173,78 @@
     async def test_crashes_at_several_vms_from_several_callers_are_counted_together(self) -> None:
         for route in (one_service(attempts=1), search(20)):
             with self.subTest(route=route):
+                late = await self._repeat_at_several_vms(route, of_another_caller)
+                self.assertLessEqual(late, MAX_LATE_ARRIVALS)
+
+    @virtual_time
+    async def test_crashes_of_one_path_with_several_queries_are_counted_together(self) -> None:
+        for route in (one_service(attempts=1), one_service(attempts=3), search(20)):
+            with self.subTest(route=route):
+                await self._repeat(route, 4, 5.5, with_another_query)
+                self.assertLessEqual(late_repetitions(self.arrivals), MAX_LATE_ARRIVALS)
+            with self.subTest(route=route, vms=8):
+                await self._repeat_at_several_vms(route, with_another_query)
+                self.assertLessEqual(late_repetitions(self.arrivals), MAX_LATE_ARRIVALS)
+
+    @virtual_time
+    async def test_queries_that_crash_replicas_refuse_no_query_that_is_answered(self) -> None:
+        for crashing in (1, 2, 5):
+            with self.subTest(crashing=crashing):
                 store, replicas = CrashStore(), FakeReplicaDialer()
-                fixtures = [GatewayFixture(route, store=store, replicas=replicas) for _ in range(8)]
+                fixtures = [
+                    GatewayFixture(one_service(attempts=1), store=store, replicas=replicas)
+                    for _ in range(2)
+                ]
                 tasks = watch_crashes(store, fixtures)
                 for fixture in fixtures:
-                    for service in [target.service for target in route.targets] + [*route.shards]:
-                        for number in range(3):
-                            fixture.add(service, number, crash_on_bad_path(ReplicaModel()))
+                    for number in range(4):
+                        fixture.add("s", number, crash_on(ReplicaModel(), has_bad_query))
                 await asyncio.sleep(BUDGET_SECONDS)
-                for number in range(24):
-                    await fixtures[3 * number % 8].gateway.answer(of_another_caller(number))
-                    await asyncio.sleep(1.5)
-                self.assertLessEqual(late_arrivals(replicas.arrivals), MAX_LATE_ARRIVALS)
+                for number in range(8):
+                    await fixtures[0].gateway.answer(asked_with(b"/a/b?good", number))
+                    bad = asked_with(b"/a/b?bad%d" % (number % crashing), 100 + number)
+                    await fixtures[0].gateway.answer(bad)
+                    await asyncio.sleep(4.0)
+                self.assertTrue(fixtures[1].journal.of(CrashLearned))
+                for number, fixture in enumerate(fixtures):
+                    answer = await fixture.gateway.answer(asked_with(b"/a/b?other", 200 + number))
+                    self.assertIsInstance(answer, ForwardedReply)
                 for task in tasks:
                     task.cancel()
 
+    @virtual_time
+    async def test_a_query_that_crashes_replicas_alone_refuses_only_itself(self) -> None:
+        fixture = GatewayFixture(one_service(attempts=1))
+        for number in range(4):
+            fixture.add("s", number, crash_on(ReplicaModel(), has_bad_query))
+        await asyncio.sleep(BUDGET_SECONDS)
+        for number in range(5):
+            await fixture.gateway.answer(asked_with(b"/a/b?bad", number))
+            await asyncio.sleep(4.0)
+        refused = await fixture.gateway.answer(asked_with(b"/a/b?bad", 10))
+        self.assertIsInstance(refused, Refusal)
+        other = await fixture.gateway.answer(asked_with(b"/a/b?other", 11))
+        self.assertIsInstance(other, ForwardedReply)
+
+    @virtual_time
+    async def test_queries_of_one_path_outlive_a_crash_of_many_replicas(self) -> None:
+        fixture = GatewayFixture(one_service(attempts=1))
+        models = [fixture.add("s", number) for number in range(12)]
+        await asyncio.sleep(BUDGET_SECONDS)
+        asked = [
+            asyncio.create_task(fixture.gateway.answer(asked_with(b"/a/b?%d" % number, number)))
+            for number in range(10)
+        ]
+        await asyncio.sleep(0.005)
+        for model in models[:11]:
+            crash(model)
+        await asyncio.gather(*asked)
+        await asyncio.sleep(1.0)
+        self.assertGreater(len(fixture.journal.of(CrashConfirmed)), 3)
+        await asyncio.sleep(DOWN_SECONDS)
+        later = await fixture.gateway.answer(asked_with(b"/a/b?20", 20))
+        self.assertIsInstance(later, ForwardedReply)
+
     @virtual_time
     async def test_errors_of_some_replicas_do_not_excuse_the_crashes_of_a_search(self) -> None:
         for seed in range(1, 6):
@@ -181,7 +278,7 @@
     async def test_each_crash_of_a_retried_request_is_counted(self) -> None:
         late = await self._repeat(one_service(attempts=3), 4, 5.5)
         self.assertLessEqual(late, MAX_LATE_ARRIVALS)
-        self.assertLessEqual(self.arrivals, 3)
+        self.assertLessEqual(len(self.arrivals), 3)
 
     @virtual_time
     async def test_each_crash_of_a_search_is_counted(self) -> None:
@@ -193,7 +290,7 @@
     @virtual_time
     async def test_a_search_that_crashes_replicas_is_not_retried_on_the_others(self) -> None:
         await self._repeat(search(20), 2, 5.5)
-        self.assertLessEqual(self.arrivals, 20)
+        self.assertLessEqual(len(self.arrivals), 20)
 
     @virtual_time
     async def test_a_quarantine_that_ends_does_not_begin_anew_with_all_shards(self) -> None:
--- a/auburncart/coordination/forwarding/tests/test_quarantine.py
+++ b/auburncart/coordination/forwarding/tests/test_quarantine.py
@@ -1,6 +1,7 @@
 import asyncio
 import random
 import unittest
+from collections.abc import Callable
 
 from auburncart.coordination.forwarding.kind_watcher import KindWatcher
 from auburncart.coordination.forwarding.quarantine import CRASHES, MAX_CONFIRMATIONS
@@ -38,9 +39,14 @@
 
 def crash_on_bad_path(model: ReplicaModel) -> ReplicaModel:
     """Make a replica crash on requests for path ``/a/bad``."""
+    return crash_on(model, lambda asked: asked.path == "/a/bad")
+
+
+def crash_on(model: ReplicaModel, is_bad: Callable[[ForwardRequest], bool]) -> ReplicaModel:
+    """Make a replica crash on some requests; it is back after some seconds."""
 
     def reply(asked: ForwardRequest):
-        if asked.path != "/a/bad":
+        if not is_bad(asked):
             return default_reply(asked)
         model.reachable = False
         asyncio.get_running_loop().call_later(DOWN_SECONDS, setattr, model, "reachable", True)
--- a/auburncart/platform/documents.py
+++ b/auburncart/platform/documents.py
@@ -88,6 +88,8 @@
     replica: str = ""
     silent: bool = False
     answered: bool = False
+    path_digest: str = ""
+    path_answered: bool = False
 
 
 IDEMPOTENT = "idempotent"
@@ -163,7 +165,15 @@
     """
     body = msgspec.convert(spec, type=_CrashBody)
     attempt = name if body.attempt is None else body.attempt
-    return CrashReport(body.digest, attempt, body.replica, body.silent, body.answered)
+    return CrashReport(
+        body.digest,
+        attempt,
+        body.replica,
+        body.silent,
+        body.answered,
+        body.path_digest,
+        body.path_answered,
+    )
 
 
 def _route(body: _RouteBody) -> Route:
--- a/auburncart/state/crash.py
+++ b/auburncart/state/crash.py
@@ -13,6 +13,8 @@
     :param replica: hash of the replica's identifier.
     :param silent: whether the replica fell silent instead of closing its connections.
     :param answered: whether replicas had answered the request shortly before.
+    :param path_digest: digest of the request without its query, ``""`` if it is not known.
+    :param path_answered: whether replicas had answered a request with that digest shortly before.
     """
 
     digest: str
@@ -20,3 +22,5 @@
     replica: str = ""
     silent: bool = False
     answered: bool = False
+    path_digest: str = ""
+    path_answered: bool = False
--- a/auburncart/state/event.py
+++ b/auburncart/state/event.py
@@ -219,12 +219,14 @@
 class CrashConfirmed(NamedTuple):
     """A replica crashed while running a request; ``crashes`` counts such attempts at it so far.
 
+    :param path_digest: digest of the request without its query.
     :param query: hash of the query, ``""`` if there is none.
     :param body: hash of the body, ``""`` if it is empty.
     """
 
     request: str
     digest: str
+    path_digest: str
     replica: str
     crashes: int
     method: str
@@ -238,11 +240,13 @@
 class CrashLearned(NamedTuple):
     """Another VM reported a crash; ``crashes`` counts those of the same request so far.
 
+    :param path_digest: digest of the request without its query.
     :param replica: hash of the replica's identifier.
     :param refusal_seconds: time for which the request is refused from now on.
     """
 
     digest: str
+    path_digest: str
     replica: str
     crashes: int
     refusal_seconds: float
