Websockets between VMs are bounded in fragments and in unsent pongs

Cause, for other VMs: the library bounds the bytes of a message, not the number of its fragments, so empty fragments filled the memory and held the event loop (0.7 to 2.4 s in one read, with memory tracing). Change: 1,000 fragments a message, read in pieces, and a bound on the pongs that wait to be sent.

--- a/auburncart/transport/merge.py
+++ b/auburncart/transport/merge.py
@@ -30,7 +30,7 @@
 from auburncart.state.event import DependencyLost, DependencyRegained
 from auburncart.state.merge import Accepted, Declined, MergeAnswer, MergeMessage, MergeQuestion
 from auburncart.transport.clock import received_at
-from auburncart.transport.websocket import WebSocketListener
+from auburncart.transport.websocket import BoundedClientConnection, WebSocketListener
 
 __all__ = ["MergeListener", "WebSocketMergeLink"]
 
@@ -181,6 +181,7 @@
                     subprotocols=[SCOPED_MERGE],
                     proxy=None,
                     close_timeout=PONG_TIMEOUT_SECONDS,
+                    create_connection=BoundedClientConnection,
                 ) as socket:
                     self._record_regained()
                     self._declining = False
--- a/auburncart/transport/relay.py
+++ b/auburncart/transport/relay.py
@@ -25,7 +25,7 @@
     encode_failure,
     encode_question,
 )
-from auburncart.transport.websocket import WebSocketListener
+from auburncart.transport.websocket import BoundedClientConnection, WebSocketListener
 
 __all__ = ["RelayListener", "WebSocketRelayClient"]
 
@@ -89,6 +89,7 @@
             compression=None,
             max_size=MAX_MESSAGE_BYTES,
             proxy=None,
+            create_connection=BoundedClientConnection,
         )
 
 
--- a/auburncart/transport/websocket.py
+++ b/auburncart/transport/websocket.py
@@ -5,15 +5,61 @@
 from abc import abstractmethod
 from collections.abc import Sequence
 
+from websockets.asyncio.client import ClientConnection
+from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.frames import DATA_OPCODES, Frame, Opcode
+from websockets.protocol import Event
 from websockets.typing import Subprotocol
 
 from auburncart.coordination.forwarding.interfaces import VmListener
 from auburncart.transport.client import split_address
 
-__all__ = ["WebSocketListener"]
+__all__ = ["BoundedClientConnection", "WebSocketListener"]
 
 CLOSE_TIMEOUT_SECONDS = 0.1  # for a handshake that has begun; the end of the process closes it
+MAX_FRAGMENTS = 1000  # of one message
+PIECE_BYTES = 8192  # of received bytes; thousands of frames at most
+MAX_UNSENT_PONG_BYTES = 65_536  # beside a message of the maximum size
+
+
+class _BoundedConnection(Connection):
+    """Aborts a websocket whose other side sends fragments or pings without end.
+
+    The library bounds the bytes of a message, not the number of its fragments, and queues the pong
+    for each ping.
+    """
+
+    _fragments = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes in pieces, and none after a bound was exceeded."""
+        for offset in range(0, len(data), PIECE_BYTES):
+            if self.transport.is_closing():
+                return
+            super().data_received(data[offset : offset + PIECE_BYTES])
+
+    def process_event(self, event: Event) -> None:
+        """Process a frame unless it exceeds a bound."""
+        if isinstance(event, Frame) and self._exceeds_bound(event):
+            self.transport.abort()
+            return
+        super().process_event(event)
+
+    def _exceeds_bound(self, frame: Frame) -> bool:
+        if frame.opcode in DATA_OPCODES:
+            self._fragments = 0 if frame.fin else self._fragments + 1
+            return self._fragments > MAX_FRAGMENTS
+        max_unsent = (self.protocol.max_message_size or 0) + MAX_UNSENT_PONG_BYTES
+        return frame.opcode is Opcode.PING and self.transport.get_write_buffer_size() > max_unsent
+
+
+class BoundedClientConnection(_BoundedConnection, ClientConnection):
+    """A websocket to another VM."""
+
+
+class _BoundedServerConnection(_BoundedConnection, ServerConnection):
+    """A websocket of another VM."""
 
 
 class WebSocketListener(VmListener):
@@ -49,6 +95,7 @@
             compression=None,
             max_size=self._max_bytes,
             select_subprotocol=self._select_subprotocol,
+            create_connection=_BoundedServerConnection,
         )
 
     async def stop(self) -> None:
