A trial passed at one shard of a search ends no quarantine

Cause: any answer to a trial forgot the history, and an answer after the refusal lifted it since the crashes had expired. A trial proves only what it tried. Change: an answer of one shard ends the trial, and the next crash refuses the search for twice as long.

--- a/auburncart/coordination/forwarding/attempts.py
+++ b/auburncart/coordination/forwarding/attempts.py
@@ -57,6 +57,7 @@
     :param send_by: loop time in seconds until which the first attempt may wait for a replica that
         limits its requests.
     :param reply_by: loop time in seconds until which a reply is of use to a merged answer.
+    :param is_part: whether other services run the request as well.
     """
 
     service: str
@@ -67,6 +68,7 @@
     until: float
     send_by: float = 0.0
     reply_by: float = float("inf")
+    is_part: bool = False
 
 
 class Outcome(NamedTuple):
@@ -136,7 +138,7 @@
                 for result in await self._mailbox.take(until):
                     reply = self._handle_result(result)
                     if reply is not None:
-                        quarantine.record_answer(self._request)
+                        quarantine.record_answer(self._request, is_part=self._policy.is_part)
                         return Outcome(reply, None, False, self._attempts)
                 if not self._pending:
                     await self._retry()
--- a/auburncart/coordination/forwarding/crash_history.py
+++ b/auburncart/coordination/forwarding/crash_history.py
@@ -29,7 +29,8 @@
     """Decides from their crashes when requests are refused; works like a circuit breaker.
 
     After three crashes requests are refused for a time; then they are on trial, and the next crash
-    refuses them for twice as long. Subclasses decide which crashes are no coincidence.
+    refuses them for twice as long, also after a trial that was passed at one service of several.
+    Subclasses decide which crashes are no coincidence.
 
     All times are loop times in seconds.
     """
@@ -38,6 +39,7 @@
         self._crashes: dict[str, _Crash] = {}
         self._refused_until = 0.0
         self._period = 0.0
+        self._passed_trial = False
 
     @property
     def refused_until(self) -> float:
@@ -53,12 +55,17 @@
         if name in self._crashes:
             return
         self._crashes[name] = _Crash(now, report)
+        self._passed_trial = False
         if now < self._refused_until:
             self._refused_until = now + self._period
         elif self._period or self.count(now) >= CRASH_THRESHOLD:
             self._period = min(MAX_REFUSAL_SECONDS, 2.0 * self._period or REFUSAL_SECONDS)
             self._refused_until = now + self._period
 
+    def pass_trial(self) -> None:
+        """End the trial; the next crash still refuses requests for twice as long."""
+        self._passed_trial = True
+
     def repeat_refusal(self, now: float) -> None:
         """Refuse requests for as long as before, since a trial has shown nothing."""
         self._refused_until = now + self._period
@@ -69,7 +76,7 @@
 
     def on_trial(self, now: float) -> bool:
         """Return whether requests were refused before and may be sent to one replica."""
-        return self._period > 0.0 and now >= self._refused_until
+        return self._period > 0.0 and now >= self._refused_until and not self._passed_trial
 
     def expired(self, now: float) -> bool:
         """Return whether the history can be forgotten."""
@@ -99,7 +106,8 @@
         :param attempt: hash of the attempt's identifier.
         """
         self._answered.add(attempt)
-        if self._period == REFUSAL_SECONDS and self.count(now) < CRASH_THRESHOLD:
+        is_first_refusal = self._period == REFUSAL_SECONDS and now < self._refused_until
+        if is_first_refusal and self.count(now) < CRASH_THRESHOLD:
             self._refused_until = self._period = 0.0
 
     def count(self, now: float) -> int:
--- a/auburncart/coordination/forwarding/fanout.py
+++ b/auburncart/coordination/forwarding/fanout.py
@@ -138,6 +138,7 @@
             search.until,
             send_by=0.5 * (search.request.arrived + search.deliver_at),
             reply_by=search.deliver_at,
+            is_part=True,
         )
         outcome = await Attempts(search.request, policy, self._context).run()
         self._mailbox.post(_partial_answer_of(shard, outcome, search.top_records))
--- a/auburncart/coordination/forwarding/quarantine.py
+++ b/auburncart/coordination/forwarding/quarantine.py
@@ -119,8 +119,11 @@
             if history.on_trial(now):
                 history.repeat_refusal(now)
 
-    def record_answer(self, request: ForwardRequest) -> None:
-        """Record that a replica ran a request and answered it without an error."""
+    def record_answer(self, request: ForwardRequest, *, is_part: bool = False) -> None:
+        """Record that a replica ran a request and answered it without an error.
+
+        :param is_part: whether other services run the request as well, where it may still crash.
+        """
         now = _now()
         is_first = self._answered_attempts.add(request.request_id, now)
         if not is_first and not self._histories and not self._path_histories:
@@ -133,7 +136,10 @@
         if history is None:
             return
         if history.on_trial(now):
-            del self._histories[digests.request]
+            if is_part:
+                history.pass_trial()
+            else:
+                del self._histories[digests.request]
             return
         history.record_answer(_hash(request.request_id), now)
 
--- a/auburncart/coordination/forwarding/scatter_gather.py
+++ b/auburncart/coordination/forwarding/scatter_gather.py
@@ -119,7 +119,9 @@
         shard = search.shards[0]
         if not self._context.budget.spend(shard):
             return NO_BUDGET
-        policy = AttemptPolicy(shard, search.priority, True, 1, search.hedge_delay, search.until)
+        policy = AttemptPolicy(
+            shard, search.priority, True, 1, search.hedge_delay, search.until, is_part=True
+        )
         outcome = await Attempts(search.request, policy, self._context).run()
         return outcome.failure
 
--- a/auburncart/coordination/forwarding/tests/test_crashing_requests.py
+++ b/auburncart/coordination/forwarding/tests/test_crashing_requests.py
@@ -142,6 +142,28 @@
         self.arrivals = fixture.replicas.arrivals
         return late_arrivals(self.arrivals)
 
+    @virtual_time
+    async def test_a_trial_passed_at_one_shard_does_not_let_all_others_crash_each_minute(
+        self,
+    ) -> None:
+        """The trial's shard answers; each further trial comes after twice the time."""
+        for shards in (2, 20):
+            with self.subTest(shards=shards):
+                fixture = GatewayFixture(search(shards, min_share=1.0))
+                for index, shard in enumerate(search(shards).shards):
+                    for number in range(2):
+                        model = fixture.add(shard, number)
+                        if index:
+                            crash_on_bad_path(model)
+                await asyncio.sleep(BUDGET_SECONDS)
+                for number in range(400):
+                    await fixture.gateway.answer(crashing_request(number))
+                    await asyncio.sleep(9.0)
+                crashes = len(fixture.journal.of(CrashConfirmed))
+                # In an hour trials come 1, 3, 7, 15 and 31 minutes after the first refusal.
+                attempts = search(shards).max_attempts
+                self.assertLessEqual(crashes, (3 + 5) * attempts * (shards - 1))
+
     async def _repeat_at_several_vms(
         self, route: Route, make_request: Callable[[int], ForwardRequest]
     ) -> int:
