Crash reports are removed from the store when their VM has ended

Change: each VM notes the reports in the store and removes those that are still there after 120 to 180 s, at a random time, so that mostly one of them does. No clock of another VM is trusted. Measured: three reports of a VM that ended, eight others: all three stay before; none left after 185 s, fewer than 24 deletions, none later. A VM that starts within that time still counts them as crashes of now.

--- a/auburncart/coordination/forwarding/quarantine.py
+++ b/auburncart/coordination/forwarding/quarantine.py
@@ -38,6 +38,8 @@
 MAX_REPORTS = 200  # at a time; the store holds each for the duration of the quarantine
 INITIAL_BACKOFF_SECONDS = 0.2  # a report is needed from the caller's next retry on
 MAX_BACKOFF_SECONDS = 2.0  # a store that is back is noticed within this time
+REMOVAL_SECONDS = 2.0 * REFUSAL_SECONDS  # for the VM that wrote a report to delete it
+MAX_REMOVALS = 20  # at a time, of reports whose VM has ended
 SEPARATOR = "."
 
 
@@ -59,6 +61,9 @@
         self._checks: dict[str, set[asyncio.Task[None]]] = {}
         self._connects = asyncio.Semaphore(MAX_CONFIRMATIONS)
         self._reporting: set[asyncio.Task[None]] = set()
+        self._removals: dict[str, float] = {}  # loop time by name of a report in the store
+        self._removing: set[asyncio.Task[None]] = set()
+        self._random = random.Random()
         self._listed = False
 
     @property
@@ -145,15 +150,22 @@
 
     def replace(self, entries: tuple[Entry, ...]) -> None:
         """Count all reports in the store."""
+        names = {entry.name for entry in entries}
+        for name in self._removals.keys() - names:
+            del self._removals[name]
         for entry in entries:
             self.apply_change(entry)
         self._listed = True
 
     def apply_change(self, entry: Entry) -> None:
-        """Count one report; a deletion is ignored, since reports expire here as well."""
+        """Count one report; a deletion changes no count, since reports expire here as well."""
         report = entry.value
         if not isinstance(report, CrashReport):
+            self._removals.pop(entry.name, None)
             return
+        # VMs choose different times, so that one of them removes a report for all.
+        delay = REMOVAL_SECONDS + self._random.uniform(0.0, REFUSAL_SECONDS)
+        self._removals.setdefault(entry.name, _now() + delay)
         history = self._histories.get(report.digest)
         if history is not None and history.knows(entry.name):
             return
@@ -172,8 +184,12 @@
         )
 
     def confirm(self) -> None:
-        """Discard requests and paths whose crashes have all expired."""
+        """Discard requests and paths whose crashes have all expired, and reports left behind."""
         now = _now()
+        for name in [name for name, at in self._removals.items() if now >= at]:
+            if len(self._removing) < MAX_REMOVALS:
+                del self._removals[name]
+                _start_task(self._delete(name, now + REFUSAL_SECONDS), self._removing)
         _discard_expired(self._histories, now)
         _discard_expired(self._path_histories, now)
 
@@ -255,11 +271,14 @@
         await self._retry(lambda: self._store.put(CRASHES, name, report._asdict()), until)
         await asyncio.sleep(until - _now())
         # Deleted also if the write seems to have failed: only its reply may have been lost.
-        await self._retry(lambda: self._store.delete(CRASHES, name), until + REFUSAL_SECONDS)
+        await self._delete(name, until + REFUSAL_SECONDS)
+
+    async def _delete(self, name: str, until: float) -> None:
+        await self._retry(lambda: self._store.delete(CRASHES, name), until)
 
     async def _retry(self, call: Callable[[], Awaitable[None]], until: float) -> None:
         """Repeat a call to the store until it succeeds or its time is over."""
-        backoff = Backoff(random.Random(), INITIAL_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS)
+        backoff = Backoff(self._random, INITIAL_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS)
         while _now() < until:
             try:
                 await call()
--- a/auburncart/coordination/forwarding/tests/test_quarantine.py
+++ b/auburncart/coordination/forwarding/tests/test_quarantine.py
@@ -3,8 +3,13 @@
 import unittest
 from collections.abc import Callable
 
+from auburncart.coordination.forwarding.crash_history import REFUSAL_SECONDS
 from auburncart.coordination.forwarding.kind_watcher import KindWatcher
-from auburncart.coordination.forwarding.quarantine import CRASHES, MAX_CONFIRMATIONS
+from auburncart.coordination.forwarding.quarantine import (
+    CRASHES,
+    MAX_CONFIRMATIONS,
+    REMOVAL_SECONDS,
+)
 from auburncart.coordination.forwarding.tests.gateway_fixture import (
     GatewayFixture,
     one_service,
@@ -30,12 +35,21 @@
     """A store that accepts only reports of crashes, and nothing while it is down."""
 
     down = False
+    deletions = 0
 
     async def put(self, kind: str, name: str, value: dict) -> None:
         if kind != CRASHES or self.down:
             raise StoreUnavailableError("another kind, or down", step="store")
         self.write(name, CrashReport(**value))
 
+    async def delete(self, kind: str, name: str) -> None:
+        self.deletions += 1
+        self.write(name, None)
+
+    async def reports(self) -> list[str]:
+        """Return the names of the reports that it has."""
+        return [entry.name for entry in (await self.list(CRASHES)).entries if entry.value]
+
 
 def crash_on_bad_path(model: ReplicaModel) -> ReplicaModel:
     """Make a replica crash on requests for path ``/a/bad``."""
@@ -159,6 +173,36 @@
         await asyncio.sleep(2.0)
         self.assertEqual(len((await store.list(CRASHES)).entries), 1)
 
+    @virtual_time
+    async def test_reports_do_not_outlive_their_vm_in_the_store(self) -> None:
+        store = CrashStore()
+        first = GatewayFixture(one_service(attempts=1), store=store)
+        for number in range(3):
+            first.add("s", number, crash_on_bad_path(ReplicaModel()))
+        for number in range(3):
+            await first.gateway.answer(crashing_request(number))
+        await asyncio.sleep(1.0)
+        for task in first.quarantine._reporting:
+            task.cancel()
+        self.assertEqual(len(await store.reports()), 3)
+        fixtures = [GatewayFixture(one_service(), store=store) for _ in range(8)]
+        tasks = [
+            asyncio.create_task(
+                KindWatcher(
+                    store, CRASHES, vm.quarantine, vm.journal, random.Random(number), TIMES
+                ).run()
+            )
+            for number, vm in enumerate(fixtures)
+        ]
+        await asyncio.sleep(REMOVAL_SECONDS + REFUSAL_SECONDS + 2.0 * TIMES.wait)
+        self.assertEqual(await store.reports(), [])
+        self.assertLess(store.deletions, 3 * len(fixtures))
+        calls = store.deletions
+        await asyncio.sleep(REMOVAL_SECONDS + REFUSAL_SECONDS)
+        self.assertEqual(store.deletions, calls)
+        for task in tasks:
+            task.cancel()
+
     @virtual_time
     async def test_unrelated_crashes_do_not_hide_a_request_that_causes_crashes(self) -> None:
         fixture = GatewayFixture(one_service(attempts=1), store=CrashStore())
