Soak: crashing requests of several callers, with queries that change

Change: proxies connect from their caller's address, a fault sends crashing requests from 2 to 8 addresses, half of them with a query that changes; a check counts repetitions by path, beside the one that counts arrivals by target. Earlier kinds of faults play as before.

--- a/auburncart/daemon/tests/soak/caller.py
+++ b/auburncart/daemon/tests/soak/caller.py
@@ -41,6 +41,7 @@
 
     :param pick_vm: chooses a VM, as the load balancer does.
     :param kinds: returns the current kinds of request.
+    :param host: IP address that it connects from, by default that of all callers.
     """
 
     def __init__(
@@ -49,11 +50,13 @@
         kinds: Callable[[], tuple[RequestKind, ...]],
         history: History,
         rng: random.Random,
+        host: str = "",
     ) -> None:
         self._pick_vm = pick_vm
         self._kinds = kinds
         self._history = history
         self._rng = rng
+        self._host = host
         self._vm: Vm | None = None
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
@@ -65,7 +68,7 @@
             await self.send(kind)
             await asyncio.sleep(self._rng.uniform(*THINK_SECONDS))
 
-    async def send(self, kind: RequestKind, name: str = "") -> None:
+    async def send(self, kind: RequestKind, name: str = "", query: str = "x=1") -> None:
         """Send one request and record its answer.
 
         :param name: last part of its path, by default its request id.
@@ -74,7 +77,7 @@
             return
         assert self._vm is not None and self._writer is not None
         request_id = f"q{next(_numbers)}"
-        target = f"/{kind.route}/{name or request_id}?x=1"
+        target = f"/{kind.route}/{name or request_id}?{query}"
         body = f"body of {name or request_id}".encode() if kind.method == "POST" else b""
         exchange = Exchange(request_id, self._vm.name, self._vm.boot, kind.route, target, body)
         exchange.seconds = kind.seconds
@@ -128,7 +131,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 self._reader, self._writer = await asyncio.open_connection(
-                    *split_address(self._vm.front_proxy.address), limit=READ_LIMIT_BYTES
+                    *split_address(self._vm.front_proxy.address),
+                    limit=READ_LIMIT_BYTES,
+                    local_addr=(self._host, 0) if self._host else None,
                 )
         except (OSError, TimeoutError):
             await asyncio.sleep(THINK_SECONDS[1])
--- a/auburncart/daemon/tests/soak/checker.py
+++ b/auburncart/daemon/tests/soak/checker.py
@@ -272,6 +272,26 @@
             if len(late) > MAX_POISON_RETRIES:
                 yield f"{target} reached replicas {len(late)} times after it had crashed three"
 
+    def _poison_paths_quarantined(self) -> Iterator[str]:
+        """Count repetitions of a path with any query, however many replicas each reached."""
+        crashes_by_path: dict[str, list[float]] = {}
+        for target, crashes in self._history.crashes.items():
+            crashes_by_path.setdefault(target.partition("?")[0], []).extend(crashes)
+        for path, crashes in crashes_by_path.items():
+            if len(crashes) < POISON_CRASHES:
+                continue
+            since = sorted(crashes)[POISON_CRASHES - 1] + SETTLING_SECONDS
+            late = {
+                exchange.request_id
+                for exchange, arrival in self._forwarded()
+                if arrival.target.partition("?")[0] == path
+                and arrival.ran
+                and arrival.at > since
+                and self._undisturbed(exchange, arrival.at)
+            }
+            if len(late) > MAX_POISON_RETRIES:
+                yield f"{path} came {len(late)} times more after it had crashed three"
+
     def _limits_kept(self) -> Iterator[str]:
         for instance, announced in self._announced_by_instance().items():
             for limit, items in itertools.groupby(announced, key=lambda item: item.limit):
@@ -408,7 +428,8 @@
         _requests_match, _at_most_once, _refused_did_not_run, _bounded_attempts,
         _deadline_passed_on, _stopped_after_disconnect, _answered_in_time, _not_cut_off,
         _answers_correct, _denials_justified, _routed_as_configured, _no_rollback,
-        _drained_not_used, _poison_quarantined, _limits_kept, _pauses_kept, _leaving_not_used,
+        _drained_not_used, _poison_quarantined, _poison_paths_quarantined,
+        _limits_kept, _pauses_kept, _leaving_not_used,
         _retry_budget, _processes_healthy, _memory_bounded,
         _recovered,
     )  # fmt: skip
--- a/auburncart/daemon/tests/soak/environment.py
+++ b/auburncart/daemon/tests/soak/environment.py
@@ -175,12 +175,33 @@
         old.proxy.reset()
         old.proxy.stop()
 
-    async def send_poison(self, times: int, gap: float, route: str = "fetch") -> None:
-        """Send a request that crashes replicas repeatedly."""
+    async def send_poison(
+        self,
+        times: int,
+        gap: float,
+        route: str = "fetch",
+        *,
+        hosts: int = 0,
+        varies_query: bool = False,
+    ) -> None:
+        """Send a request that crashes replicas repeatedly.
+
+        :param hosts: number of addresses it comes from, 0 for that of all callers.
+        :param varies_query: whether each repetition has another query.
+        """
         kind = next(kind for kind in KINDS if kind.route == route)
-        caller = Caller(self.pick_vm, lambda: KINDS, self.history, self.rng)
-        for _ in range(times):
-            await caller.send(kind, f"{POISON}-{self._version}")
+        addresses = [self._addresses.caller_host(number) for number in range(hosts)]
+        callers = [
+            Caller(self.pick_vm, lambda: KINDS, self.history, self.rng, host)
+            for host in addresses or [""]
+        ]
+        name = f"{POISON}-{self._version}"
+        for number in range(times):
+            caller = callers[number % len(callers)]
+            if varies_query:
+                await caller.send(kind, f"{name}-q{hosts}", f"page={number}")
+            else:
+                await caller.send(kind, name)
             caller.close()
             await asyncio.sleep(gap)
 
--- a/auburncart/daemon/tests/soak/faults.py
+++ b/auburncart/daemon/tests/soak/faults.py
@@ -297,6 +297,19 @@
         await environment.send_poison(rng.randint(4, 12), rng.uniform(0.2, 1.2), "search")
 
 
+class PoisonOfSeveralCallers(Fault):
+    """A request that crashes replicas comes from several addresses, at times with new queries."""
+
+    async def inject(self, environment: Environment, rng: random.Random) -> None:
+        await environment.send_poison(
+            rng.randint(8, 20),
+            rng.uniform(0.3, 1.2),
+            rng.choice(("fetch", "search")),
+            hosts=rng.randint(2, 8),
+            varies_query=rng.random() < 0.5,
+        )
+
+
 # A seed plays the same faults only with the same kinds to draw from.
 FIRST_FAULTS: tuple[type[Fault], ...] = (
     Pause, Kill, RollingRestart, Reload, StoreFault, StorePartition, CallerProxyFault,
@@ -305,7 +318,8 @@
 )  # fmt: skip
 SECOND_FAULTS = (*FIRST_FAULTS, BrokenReplies)
 THIRD_FAULTS = (*SECOND_FAULTS, LimitedReplicas, PausingReplicas, LeavingReplica, PoisonSearches)
-FAULTS = (*THIRD_FAULTS, LostReplies, LostReplies)
+FOURTH_FAULTS = (*THIRD_FAULTS, LostReplies, LostReplies)
+FAULTS = (*FOURTH_FAULTS, PoisonOfSeveralCallers)
 
 
 async def inject(
--- a/auburncart/daemon/tests/soak/tcp_proxy.py
+++ b/auburncart/daemon/tests/soak/tcp_proxy.py
@@ -13,6 +13,8 @@
 CHUNK_BYTES = 65536
 NET_SIZE = 250
 FIRST_PORT = 20000
+FIRST_CALLER_HOST = 200  # above those of VMs
+DEFAULT_HOST = "127.0.0.1"
 RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # SO_LINGER on with 0 s: closing sends RST
 
 
@@ -36,6 +38,10 @@
         """Return an IP address for a VM."""
         return f"{self._net}.{next(self._hosts)}"
 
+    def caller_host(self, number: int) -> str:
+        """Return an IP address for a caller, from 0 to 49."""
+        return f"{self._net}.{FIRST_CALLER_HOST + number}"
+
 
 class TcpProxy:
     """Forwards connections to a target, with faults on command.
@@ -98,9 +104,12 @@
         if self.refusing:
             _reset(writer)
             return
+        host = writer.get_extra_info("peername")[0]
         try:
+            # The target sees the address of a caller that has one of its own.
             target_reader, target_writer = await asyncio.open_connection(
-                *split_address(self.target)
+                *split_address(self.target),
+                local_addr=None if host == DEFAULT_HOST else (host, 0),
             )
         except OSError:
             _reset(writer)
--- a/auburncart/daemon/tests/test_soak.py
+++ b/auburncart/daemon/tests/test_soak.py
@@ -94,6 +94,7 @@
             "no_rollback": self.rolled_back,
             "drained_not_used": self.drained_used,
             "poison_quarantined": self.poison_not_quarantined,
+            "poison_paths_quarantined": self.poison_path_not_quarantined,
             "limits_kept": self.limit_exceeded,
             "pauses_kept": self.pause_ignored,
             "leaving_not_used": self.leaving_used,
@@ -193,6 +194,20 @@
             recorded.history.arrivals.append(arrival)
         return recorded
 
+    def poison_path_not_quarantined(self) -> RecordedRequest:
+        recorded = RecordedRequest()
+        for number in range(7):
+            target = f"/fetch/poison?page={number}"
+            late = Exchange(f"p{number}", "vm0", 1, "fetch", target, b"")
+            late.sent_at = 9.0 if number > 2 else float(number)
+            if number < 3:
+                recorded.history.crashes[target] = [late.sent_at]
+            recorded.history.exchanges[late.request_id] = late
+            at = late.sent_at + 0.1
+            arrival = Arrival(at, late.request_id, "f1", "f1/1", target, b"", True, 1.0)
+            recorded.history.arrivals.append(arrival)
+        return recorded
+
     def too_many_retries(self) -> RecordedRequest:
         recorded = RecordedRequest()
         for _ in range(58):
