Stand-ins and callers of the tests close their connections when cancelled

Cause: handlers of test_forward closed their connection only after an error, and the soak's callers not at all; their streams were collected after the event loop had ended. Change: both close in a finally clause.

--- a/auburncart/daemon/tests/soak/caller.py
+++ b/auburncart/daemon/tests/soak/caller.py
@@ -62,11 +62,14 @@
         self._writer: asyncio.StreamWriter | None = None
 
     async def run(self) -> None:
-        while True:
-            kinds = self._kinds()
-            kind = self._rng.choices(kinds, [kind.share for kind in kinds])[0]
-            await self.send(kind)
-            await asyncio.sleep(self._rng.uniform(*THINK_SECONDS))
+        try:
+            while True:
+                kinds = self._kinds()
+                kind = self._rng.choices(kinds, [kind.share for kind in kinds])[0]
+                await self.send(kind)
+                await asyncio.sleep(self._rng.uniform(*THINK_SECONDS))
+        finally:
+            self.close()
 
     async def send(self, kind: RequestKind, name: str = "", query: str = "x=1") -> None:
         """Send one request and record its answer.
--- a/auburncart/daemon/tests/test_forward.py
+++ b/auburncart/daemon/tests/test_forward.py
@@ -74,6 +74,8 @@
                 await asyncio.sleep(self.reply_delay)
                 writer.write(REPLICA_REPLY)
         except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
             writer.close()
 
     async def serve_store(self, reader, writer) -> None:
@@ -115,6 +117,8 @@
                 data = json.dumps(body).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(data) + data)
         except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
             writer.close()
 
     async def wait_until_ready(self) -> None:
