--- a/review/stand_ins_2/replica.py
+++ b/review/stand_ins_2/replica.py
@@ -17,7 +17,6 @@
 
 BEAT_SECONDS = 1.2  # `beatIntervalMs`
 SILENT_BEATS = 3  # after which the store removes the entry
-SLOTS = 2
 QUEUE = 12
 POISON = "poison"  # a path that contains it crashes the replica that runs it
 _births = itertools.count(1_772_390_000_000)
@@ -42,10 +41,17 @@
 
     :param store: the store in which it registers.
     :param arrivals: receives what it reads.
+    :param slots: number of requests that it runs at a time.
     """
 
     def __init__(
-        self, service: str, instance: str, address: str, store: Store, arrivals: list[Arrival]
+        self,
+        service: str,
+        instance: str,
+        address: str,
+        store: Store,
+        arrivals: list[Arrival],
+        slots: int = 2,
     ) -> None:
         self.service = service
         self.instance = instance
@@ -57,6 +63,7 @@
         self.shed_seconds = 0.0  # for which a request waits before it is shed
         self.limit = 0.0  # requests per second that it names, 0 for none
         self.crashes: list[tuple[float, str]] = []
+        self.answered: dict[str, float] = {}  # loop times by request id
         self.on_crash: Callable[[str], None] = lambda target: None
         self._store = store
         self._arrivals = arrivals
@@ -64,14 +71,15 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._runs: set[asyncio.Task[None]] = set()
-        self._slots = asyncio.Semaphore(SLOTS)
+        self._slot_count = slots
+        self._slots = asyncio.Semaphore(slots)
         self._waiting = 0
         self._ended = False
 
     async def start(self) -> None:
         """Listen and register."""
         host, port = self.address.rsplit(":", 1)
-        self._slots, self._waiting = asyncio.Semaphore(SLOTS), 0
+        self._slots, self._waiting = asyncio.Semaphore(self._slot_count), 0
         self._server = await asyncio.start_server(self._serve, host, int(port))
         self.register()
 
@@ -82,7 +90,7 @@
             self.instance,
             {
                 "service": self.service, "address": self.address, "zone": "dc1",
-                "configVersion": "v1", "slots": SLOTS, "state": "ready", "coldLeftMs": 0,
+                "configVersion": "v1", "slots": self._slot_count, "state": "ready", "coldLeftMs": 0,
                 "sequence": 1, "born": self._born,
             },
         )  # fmt: skip
@@ -139,7 +147,7 @@
         if request.headers.get("x-target-instance") != self.instance:
             self._note(request, ran=False)
             return encode_reply(421, headers=headers | {"X-Instance-Id": self.instance})
-        if self.pause or self._waiting >= QUEUE:
+        if self.pause or self._waiting >= self._slot_count + QUEUE:
             self._note(request, ran=False)
             await asyncio.sleep(self.shed_seconds)
             headers |= {"X-Not-Executed": "1"}
@@ -162,6 +170,7 @@
         finally:
             self._waiting -= 1
         headers["X-Server-Stamp"] = reply_stamp(self.service, request_id)
+        self.answered[request_id] = asyncio.get_running_loop().time()
         return encode_reply(200, records(self.service, request_id), headers)
 
     async def _run_poison(self, target: str) -> None:
