--- a/review/stand_ins_2/replica.py
+++ b/review/stand_ins_2/replica.py
@@ -76,6 +76,16 @@
         self._waiting = 0
         self._ended = False
 
+    @property
+    def running(self) -> int:
+        """Number of requests that it runs or lets wait."""
+        return self._waiting
+
+    @property
+    def serving(self) -> bool:
+        """Whether its process runs."""
+        return self._server is not None
+
     async def start(self) -> None:
         """Listen and register."""
         host, port = self.address.rsplit(":", 1)
