--- a/review/stand_ins_2/case.py
+++ b/review/stand_ins_2/case.py
@@ -150,21 +150,24 @@
     body: bytes = b"",
     seconds: float = 3.0,
     wait: float | None = None,
-    request_id: str = "",
+    host: str = "",
 ) -> Answer:
     """Send one request on a new connection and wait for its answer.
 
     :param seconds: time budget of the caller.
     :param wait: seconds after which the caller leaves, by default half a second after the budget.
+    :param host: IP address of the caller, by default that of this machine.
     """
-    request_id = request_id or f"a{os.getpid():x}x{next(_numbers):x}"
+    request_id = f"a{os.getpid():x}x{next(_numbers):x}"
     sent_at = now()
     message: Message | None = None
     writer: asyncio.StreamWriter | None = None
     try:
         async with asyncio.timeout(seconds + 0.5 if wait is None else wait):
-            host, port = vm.front_proxy.target.rsplit(":", 1)
-            reader, writer = await asyncio.open_connection(host, int(port))
+            address, port = vm.front_proxy.target.rsplit(":", 1)
+            reader, writer = await asyncio.open_connection(
+                address, int(port), local_addr=(host, 0) if host else None
+            )
             writer.write(
                 f"{method} {target} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {request_id}\r\n"
                 f"X-Deadline-Remaining: {seconds * 1000:.0f}\r\n"
