--- a/review/stand_ins_2/case.py
+++ b/review/stand_ins_2/case.py
@@ -15,7 +15,17 @@
 from auburncart.daemon.tests.soak.wire import Message, read_message
 from review.stand_ins_2.store import Store
 
-__all__ = ["HOST", "Answer", "CaseError", "Deployment", "Record", "main", "send", "troubled"]
+__all__ = [
+    "BOUNDS",
+    "HOST",
+    "Answer",
+    "CaseError",
+    "Deployment",
+    "Record",
+    "main",
+    "send",
+    "troubled",
+]
 
 HOST = "case.example"
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
@@ -78,15 +88,21 @@
 
     :param data_centres: that of each VM.
     :param folder: folder for settings and logs.
+    :param bounds: the platform's bounds, by default those of ``leidsla-leit``.
     """
 
-    def __init__(self, data_centres: tuple[str, ...], folder: Path) -> None:
+    def __init__(
+        self,
+        data_centres: tuple[str, ...],
+        folder: Path,
+        bounds: dict[str, float] | None = None,
+    ) -> None:
         self.addresses = AddressPool()
         self.store = Store(self.addresses.next_address())
         self.folder = folder
         self.version = 0
         self.vms = [
-            Vm(f"vm{number}", name, self.addresses, folder, self.store.address, BOUNDS)
+            Vm(f"vm{number}", name, self.addresses, folder, self.store.address, bounds or BOUNDS)
             for number, name in enumerate(data_centres)
         ]
 
--- a/review/stand_ins_2/replica.py
+++ b/review/stand_ins_2/replica.py
@@ -25,6 +25,7 @@
 class Arrival(NamedTuple):
     """A request that a replica read.
 
+    :param at: loop time at which it was read.
     :param ran: whether the replica began to run it.
     """
 
@@ -150,15 +151,16 @@
 
     async def _handle(self, request: Message) -> bytes:
         """Return the answer to one request."""
+        read_at, born = asyncio.get_running_loop().time(), self._born
         request_id = request.headers.get("x-attempt-id", "")
         headers = {"X-Attempt-Id": request_id}
         if self.limit:
             headers["Server-Limit"] = f"{self.limit:g}"
         if request.headers.get("x-target-instance") != self.instance:
-            self._note(request, ran=False)
+            self._note(request, read_at, ran=False)
             return encode_reply(421, headers=headers | {"X-Instance-Id": self.instance})
         if self.pause or self._waiting >= self._slot_count + QUEUE:
-            self._note(request, ran=False)
+            self._note(request, read_at, ran=False)
             await asyncio.sleep(self.shed_seconds)
             headers |= {"X-Not-Executed": "1"}
             if self.pause:
@@ -167,7 +169,9 @@
         self._waiting += 1
         try:
             async with self._slots:
-                self._note(request, ran=True)
+                if not self.serving or born != self._born:
+                    raise asyncio.CancelledError  # the process that read it has crashed
+                self._note(request, read_at, ran=True)
                 if POISON in request.start_line[1]:
                     # Runs on when the connection closes, as not all replicas drop a request then.
                     task = asyncio.create_task(self._run_poison(request.start_line[1]))
@@ -178,7 +182,8 @@
                     raise asyncio.CancelledError
                 await asyncio.sleep(self.work_seconds)
         finally:
-            self._waiting -= 1
+            if born == self._born:
+                self._waiting -= 1
         headers["X-Server-Stamp"] = reply_stamp(self.service, request_id)
         self.answered[request_id] = asyncio.get_running_loop().time()
         return encode_reply(200, records(self.service, request_id), headers)
@@ -187,10 +192,10 @@
         await asyncio.sleep(self.crash_after)
         asyncio.get_running_loop().call_soon(self.crash, target)
 
-    def _note(self, request: Message, *, ran: bool) -> None:
+    def _note(self, request: Message, read_at: float, *, ran: bool) -> None:
         self._arrivals.append(
             Arrival(
-                asyncio.get_running_loop().time(),
+                read_at,
                 request.headers.get("x-attempt-id", ""),
                 self.service,
                 self.instance,
