--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Checks, after the build of the deploy file, that all that the cases 6 to 10 start can be started.
+# Checks, after the build of the deploy file, that all that the cases 6 to 9 start can be started.
 # The stand-ins are Python modules, so that there is nothing to compile.
 cd "$(dirname "$0")/.." || exit 2
 PYTHONPATH=target/deps:. exec python3 -c '
